--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,904 @@
+//! Every decision of a gateway; its types, events and actions stand in `src/interface.rs`.
+//!
+//! Ordinary path: a request spends its customer's lease; else a demand-sized block is added to the
+//! customer's count and kept as far as the window's burst allows; else it is refused at once. While the
+//! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::Hasher;
+
+// ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
+
+/// Windows' length, in bursts over rate: two keep the calls at a turn few and every name short-lived.
+const WINDOW_SPANS: f64 = 2.0;
+/// Shortest and longest window, seconds: no turn within a refresh, and names last less than 60 s.
+const WINDOW_BOUNDS: (f64, f64) = (2.0, 25.0);
+/// Seconds of recent demand that a block covers: short, as demand moves and blocks strand.
+const BLOCK_SPAN: f64 = 0.3;
+/// Seconds over which demand is averaged: a few blocks.
+const DEMAND_MEMORY: f64 = 1.0;
+/// Seconds after which an unspent lease goes back and a known level is asked again: the page's refresh.
+const REFRESH: f64 = 1.0;
+/// Share of the burst by which the count may lag behind what has lapsed before it is put right.
+const LAPSE_SLACK: f64 = 0.25;
+/// Share of the counter's time limit that a request is held for: a few milliseconds.
+const HOLD_SHARE: f64 = 0.3;
+/// Counter calls that may be out: at least, at most and at the start; the counter's speed moves it.
+const CALLS_OUT: (f64, f64, f64) = (1.0, 64.0, 16.0);
+/// Time limits between trial calls while the counter is quiet.
+const QUIET_LIMITS: f64 = 4.0;
+/// Share of the room between quota and ceiling that stores off the count may use.
+const CEILING_SHARE: f64 = 0.8;
+/// Share of the aim that answers may take before a server is sent less: the rest is for swings.
+const PRESSED_AIM: f64 = 0.5;
+/// Share of the aim after which a second copy may go out.
+const HEDGE_AIM: f64 = 0.4;
+/// Further attempts per first send, and how many may be saved up: too few to feed an overload.
+const FURTHER: (f64, f64) = (0.1, 10.0);
+/// Share of the cold budget that all gateways together plan to use.
+const COLD_SHARE: f64 = 0.4;
+/// Seconds over which the rate of sends is averaged.
+const RATE_MEMORY: f64 = 3.0;
+/// Weight of a new latency in a server's mean.
+const LATENCY_GAIN: f64 = 0.15;
+/// Failures in a row that put a server out; a refused connection counts as all of them.
+const EJECT_AFTER: u32 = 3;
+/// Seconds a server is first and at most put out for.
+const EJECT: (f64, f64) = (1.0, 8.0);
+/// Attempts a gateway starts with on a server before it has learned more.
+const FIRST_LIMIT: f64 = 4.0;
+/// Seconds after which an idle customer is forgotten; longer than any window.
+const FORGET: f64 = 60.0;
+
+/// Where an attempt stands, as far as rule two cares.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Ran {
+    Out,
+    Never,
+    Maybe,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    server: ServerId,
+    sent: Time,
+    ran: Ran,
+}
+
+#[derive(Debug)]
+struct Job {
+    request: Request,
+    arrived: Time,
+    attempts: Vec<Attempt>,
+    over: bool,
+    streaming: bool,
+}
+
+impl Job {
+    fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.ran == Ran::Out).count()
+    }
+}
+
+/// A token bucket: `level` at `at`.
+#[derive(Debug, Clone, Copy, Default)]
+struct Store {
+    level: f64,
+    at: Time,
+}
+
+impl Store {
+    fn refill(&mut self, now: Time, rate: f64, burst: f64) -> f64 {
+        self.level = (self.level + rate * (now - self.at)).min(burst);
+        self.at = now;
+        self.level
+    }
+}
+
+#[derive(Debug)]
+struct Customer {
+    plan: usize,
+    spread: u32,
+    lease: f64,
+    /// Units spent off the count; the next ask adds them.
+    owed: f64,
+    demand: Store,
+    /// The safe share; all local spending draws it down, so that quiet never grants a share twice.
+    share: Store,
+    /// The quota's store as the count last showed it.
+    level: Option<Store>,
+    window: u64,
+    asking: Option<u64>,
+    late: bool,
+    held: VecDeque<JobId>,
+    open: u32,
+    touched: Time,
+    lease_timer: bool,
+}
+
+/// Why a count was called.
+#[derive(Debug, Clone, Copy)]
+enum Why {
+    Ask { want: f64, owed: f64 },
+    Read,
+    Correct,
+}
+
+#[derive(Debug)]
+struct Call {
+    customer: CustomerId,
+    window: u64,
+    step: f64,
+    why: Why,
+}
+
+#[derive(Debug, Clone)]
+enum Due {
+    Hold(CustomerId, u64),
+    Lease(CustomerId),
+    Hedge(JobId),
+    Sweep,
+}
+
+#[derive(Debug)]
+struct Host {
+    zone: u32,
+    cell: u32,
+    lifecycle: Lifecycle,
+    cold_since: Time,
+    inflight: f64,
+    limit: f64,
+    latency: f64,
+    failures: u32,
+    out_until: Time,
+    out_for: f64,
+    cut_at: Time,
+    cold: Store,
+}
+
+/// The decisions of one gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    set: Settings,
+    rng: fastrand::Rng,
+    jobs: BTreeMap<JobId, Job>,
+    customers: BTreeMap<CustomerId, Customer>,
+    servers: BTreeMap<ServerId, Host>,
+    calls: BTreeMap<u64, VecDeque<Call>>,
+    due: BTreeMap<u64, Due>,
+    next_token: u64,
+    calls_out: f64,
+    calls_limit: f64,
+    misses: u32,
+    quiet_until: Time,
+    sent_units: Store,
+    latency: f64,
+    further: f64,
+}
+
+fn hash(parts: &[&[u8]]) -> u64 {
+    let mut hasher = fnv::FnvHasher::default();
+    parts.iter().for_each(|p| hasher.write(p));
+    // FNV leaves the high bits of short inputs poor; one multiply-shift round spreads them.
+    let h = hasher.finish();
+    (h ^ (h >> 32)).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 1
+}
+
+fn check(s: &Settings) -> Result<(), SettingsError> {
+    let good = |name, v: f64| {
+        if v.is_finite() && v >= 0.0 { Ok(()) } else { Err(SettingsError::BadNumber(name)) }
+    };
+    if s.gateways == 0 {
+        return Err(SettingsError::NoGateways);
+    }
+    if s.me >= s.gateways {
+        return Err(SettingsError::MeOutOfRange);
+    }
+    good("count_limit", s.count_limit)?;
+    good("max_retry_after", s.max_retry_after)?;
+    good("cold_from", s.cold_from)?;
+    good("cold", s.cold)?;
+    good("fall_multiple", s.fall_multiple)?;
+    good("fall", s.fall)?;
+    good("step", s.step)?;
+    for c in &s.classes {
+        good("aim", c.aim)?;
+        good("late_worth", c.late_worth)?;
+    }
+    for p in &s.plans {
+        good("rate", p.rate)?;
+        good("burst", p.burst)?;
+        good("pays", p.pays)?;
+        good("excess_worth", p.excess_worth)?;
+        good("overrun_cost", p.overrun_cost)?;
+        good("ceiling_rate", p.ceiling_rate)?;
+        good("ceiling_burst", p.ceiling_burst)?;
+    }
+    Ok(())
+}
+
+fn window_length(plan: &Plan) -> f64 {
+    (WINDOW_SPANS * plan.burst / plan.rate).clamp(WINDOW_BOUNDS.0, WINDOW_BOUNDS.1)
+}
+
+/// The window at `now` and the seconds since it began; each customer's turns stand at a phase of its own.
+fn window(plan: &Plan, id: &CustomerId, now: Time) -> (u64, f64) {
+    let length = window_length(plan);
+    let phase = (hash(&[id.as_bytes()]) % 1024) as f64 / 1024.0;
+    let spans = (now / length + phase).max(0.0);
+    (spans as u64, spans.fract() * length)
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet. `seed` feeds all its randomness.
+    ///
+    /// # Errors
+    /// Settings that no gateway can work with.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        check(&settings)?;
+        Ok(Self {
+            set: settings,
+            rng: fastrand::Rng::with_seed(seed),
+            jobs: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            due: BTreeMap::new(),
+            next_token: 0,
+            calls_out: 0.0,
+            calls_limit: CALLS_OUT.2,
+            misses: 0,
+            quiet_until: 0.0,
+            sent_units: Store::default(),
+            latency: 0.0,
+            further: FURTHER.1,
+        })
+    }
+
+    /// Takes one event at `now` and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List { kind, servers } => self.list(now, kind, servers, actions),
+            Event::Request(request) => self.request(now, request, actions),
+            Event::FirstByte { job } => {
+                if let Some(job) = self.jobs.get_mut(&job) {
+                    job.streaming = true;
+                }
+            }
+            Event::Outcome { job, attempt, server, status, spent, over, settled, load: _ } => {
+                self.observe(now, &server, status, spent);
+                self.outcome(now, &job, attempt, status, over, settled, actions);
+            }
+            Event::Left { job } => self.over(&job),
+            Event::Timer { token } => self.timer(now, token, actions),
+            Event::Probed { server, status, .. } => {
+                if let (Some(host), Status::Ok) = (self.servers.get_mut(&server), status) {
+                    host.out_until = host.out_until.min(now);
+                }
+            }
+            Event::Counted { counter, status, total, spent } => {
+                self.counted(now, counter, status, total, spent, actions)
+            }
+        }
+    }
+
+    fn set_timer(&mut self, at: Time, due: Due, out: &mut Vec<Action>) {
+        self.next_token += 1;
+        self.due.insert(self.next_token, due);
+        out.push(Action::Timer { token: self.next_token, at });
+    }
+
+    // ---- Servers: the list, health, choice ----
+
+    fn list(&mut self, now: Time, kind: ListKind, servers: Vec<Server>, out: &mut Vec<Action>) {
+        if self.set.must_ask && matches!(kind, ListKind::Stale | ListKind::Failed) {
+            out.push(Action::Watch);
+        }
+        if kind == ListKind::Stale {
+            self.set_timer(now + FORGET, Due::Sweep, out);
+        }
+        if kind == ListKind::Full {
+            self.servers.values_mut().for_each(|h| h.lifecycle = Lifecycle::Gone);
+        }
+        let latency = self.latency;
+        for entry in servers {
+            let host = self.servers.entry(entry.id).or_insert_with(|| Host {
+                zone: entry.zone,
+                cell: entry.cell,
+                lifecycle: entry.lifecycle,
+                cold_since: entry.started,
+                inflight: 0.0,
+                limit: FIRST_LIMIT,
+                latency,
+                failures: 0,
+                out_until: 0.0,
+                out_for: EJECT.0,
+                cut_at: 0.0,
+                cold: Store { level: 0.0, at: now },
+            });
+            host.lifecycle = entry.lifecycle;
+            if entry.started > host.cold_since {
+                // A new life: what was learned of the old one does not hold.
+                (host.cold_since, host.limit, host.latency) = (entry.started, FIRST_LIMIT, latency);
+                (host.failures, host.out_until, host.out_for) = (0, 0.0, EJECT.0);
+                host.cold = Store { level: 0.0, at: now };
+            }
+        }
+    }
+
+    /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
+    fn observe(&mut self, now: Time, server: &ServerId, status: Status, spent: f64) {
+        let Some(host) = self.servers.get_mut(server) else { return };
+        host.inflight = (host.inflight - 1.0).max(0.0);
+        match status {
+            Status::Moot | Status::Cancelled => return,
+            Status::Ok => {
+                if host.failures >= EJECT_AFTER {
+                    // It was out and answers again: it may have restarted unannounced, so suspect it cold.
+                    host.cold_since = now;
+                    host.limit = 1.0;
+                }
+                host.failures = 0;
+                host.out_for = EJECT.0;
+            }
+            Status::Full => host.limit = (host.limit * 0.7).max(1.0),
+            Status::ConnectFailed => host.failures += EJECT_AFTER,
+            _ => host.failures += 1,
+        }
+        if host.failures >= EJECT_AFTER && now >= host.out_until {
+            host.out_until = now + host.out_for;
+            host.out_for = (host.out_for * 2.0).min(EJECT.1);
+            host.limit = 1.0;
+        }
+        if !matches!(status, Status::Ok | Status::Timeout) {
+            return;
+        }
+        let mean = |old: f64| if old == 0.0 { spent } else { old + LATENCY_GAIN * (spent - old) };
+        host.latency = mean(host.latency);
+        self.latency = mean(self.latency);
+        let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        if host.latency > PRESSED_AIM * aim {
+            if now - host.cut_at > host.latency {
+                host.limit = (host.limit * 0.8).max(1.0);
+                host.cut_at = now;
+            }
+        } else if host.inflight + 1.0 >= host.limit * 0.7 {
+            host.limit += 1.0 / host.limit;
+        }
+    }
+
+    /// The share of its capacity that a server can be trusted to have.
+    fn warmth(&self, host: &Host, now: Time) -> f64 {
+        if host.cold_since <= 0.0 || self.set.cold <= 0.0 {
+            return 1.0;
+        }
+        let age = ((now - host.cold_since) / self.set.cold).clamp(0.0, 1.0);
+        self.set.cold_from + (1.0 - self.set.cold_from) * age
+    }
+
+    /// Rule 4: a cold server's budget, in units, from what a server is sent on average by this gateway;
+    /// every gateway does the same, so together they stay under the multiple. Harms nothing but a fleet
+    /// that is all cold, where it slows the climb.
+    fn cold_room(&mut self, id: &ServerId, now: Time) -> f64 {
+        let usable = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running).count().max(1);
+        let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
+        let warmth = self.warmth(&self.servers[id], now);
+        if warmth >= 1.0 {
+            return f64::INFINITY;
+        }
+        let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * mean;
+        let host = self.servers.get_mut(id).expect("the caller names a known server");
+        host.cold.refill(now, rate, (rate * self.set.fall / 2.0).max(1.0))
+    }
+
+    /// The server that should answer first, among those this job may go to; `None`: all are full.
+    fn choose(&mut self, job: &Job, now: Time, share: f64) -> Option<ServerId> {
+        let anchor = self.anchor(job, now)?;
+        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
+        let mut best: Option<(f64, ServerId)> = None;
+        for id in ids {
+            let host = &self.servers[&id];
+            let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
+                Group::All => true,
+                Group::Zone => host.zone == zone,
+                Group::Cell => host.cell == cell && host.zone == zone,
+            });
+            if host.lifecycle != Lifecycle::Running
+                || now < host.out_until
+                || !in_group
+                || host.inflight >= (host.limit * share).max(1.0)
+                || job.attempts.iter().any(|a| a.server == id)
+            {
+                continue;
+            }
+            let wait = host.latency.max(1e-3) * (1.0 + host.inflight) / self.warmth(host, now);
+            let score = wait * (1.0 + 0.1 * self.rng.f64());
+            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id, now) >= 1.0 {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    /// Rule 2: `None`: no further attempt may go out; `Some(None)`: anywhere; else only to that group.
+    #[allow(clippy::option_option)]
+    fn anchor(&self, job: &Job, now: Time) -> Option<Option<(Group, u32, u32)>> {
+        if job.out() > 0 && !self.set.second_copies {
+            return None;
+        }
+        let Some(first) = job.attempts.iter().find(|a| a.ran != Ran::Never) else { return Some(None) };
+        match self.set.classes[job.request.class].effect {
+            Effect::Safe => Some(None),
+            Effect::Unsafe => None,
+            Effect::Keyed { group, window } => {
+                let host = self.servers.get(&first.server)?;
+                (now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
+            }
+        }
+    }
+
+    fn may_refuse(&self, job: &Job) -> bool {
+        let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
+        match self.set.classes.get(job.request.class).map(|c| c.effect) {
+            Some(Effect::Unsafe) => clean,
+            Some(Effect::Keyed { group, .. }) => clean || group == Group::All,
+            _ => true,
+        }
+    }
+
+    // ---- Admission ----
+
+    fn request(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+        let id = request.job.clone();
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let known = request.class < self.set.classes.len()
+            && request.plan < self.set.plans.len()
+            && request.units.is_finite()
+            && request.units >= 0.0
+            && request.expires > now;
+        let job = Job { request, arrived: now, attempts: Vec::new(), over: false, streaming: false };
+        let full = self.jobs.len() >= self.set.max_open as usize;
+        self.jobs.insert(id.clone(), job);
+        if !known || full {
+            return self.end(now, &id, 0.0, out);
+        }
+        self.admit(now, id, out);
+    }
+
+    fn admit(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        let request = self.jobs[&id].request.clone();
+        let plan = self.set.plans[request.plan].clone();
+        let spread = request.spread.clamp(1, self.set.gateways);
+        let customer = self.customers.entry(request.customer.clone()).or_insert_with(|| Customer {
+            plan: request.plan,
+            spread,
+            lease: 0.0,
+            owed: 0.0,
+            demand: Store { level: 0.0, at: now },
+            share: Store {
+                // Rule 5: a restarted gateway does not know what it spent under a ceiling.
+                level: if plan.ceiling_rate > 0.0 { 0.0 } else { plan.burst / f64::from(spread) },
+                at: now,
+            },
+            level: None,
+            window: 0,
+            asking: None,
+            late: false,
+            held: VecDeque::new(),
+            open: 0,
+            touched: now,
+            lease_timer: false,
+        });
+        (customer.plan, customer.spread, customer.touched) = (request.plan, spread, now);
+        note_demand(&mut customer.demand, now, request.units, DEMAND_MEMORY);
+        if plan.open > 0 && customer.open >= plan.open {
+            return self.end(now, &id, self.latency, out);
+        }
+        if !self.has_room(&id, now) {
+            return self.end(now, &id, self.set.max_retry_after, out);
+        }
+        if plan.rate <= 0.0 {
+            return self.send_first(now, id, out);
+        }
+        self.cover(now, id, &plan, out);
+    }
+
+    /// The ordinary path: lease, else block, else refusal; the safe share while the counter is quiet.
+    fn cover(&mut self, now: Time, id: JobId, plan: &Plan, out: &mut Vec<Action>) {
+        let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
+        let usable = self.set.has_counter && self.calls_out < self.calls_limit && now >= self.quiet_until;
+        let customer = self.customers.get_mut(&key).expect("admitted customers are known");
+        if customer.lease >= units {
+            return self.spend(now, id, units, false, out);
+        }
+        if customer.asking.is_some() && !customer.late {
+            customer.held.push_back(id);
+            return;
+        }
+        if let Some(mut level) = customer.level.filter(|l| now - l.at < REFRESH) {
+            let left = level.refill(now, plan.rate, plan.burst);
+            if left + customer.lease + 1e-6 < units {
+                let wait = (units - left - customer.lease) / plan.rate;
+                return self.end(now, &id, wait, out);
+            }
+        }
+        if customer.asking.is_none() && usable {
+            let unseen = customer.level.is_none();
+            customer.held.push_back(id.clone());
+            self.ask(now, &key, plan, out);
+            if unseen && self.share_covers(now, &key, plan, units) {
+                self.customers.get_mut(&key).expect("still known").held.pop_back();
+                self.spend(now, id, units, true, out);
+            }
+            return;
+        }
+        self.fall_back(now, id, plan, out);
+    }
+
+    /// Safe mode: an even share of rate and burst. Under a ceiling the share is cut to what stands between
+    /// quota and ceiling, as the count may have granted the whole quota already (rule 5).
+    fn share_covers(&mut self, now: Time, key: &CustomerId, plan: &Plan, units: f64) -> bool {
+        let customer = self.customers.get_mut(key).expect("asked for known customers only");
+        let (mut rate, mut burst) = (plan.rate, plan.burst);
+        if plan.ceiling_rate > 0.0 {
+            rate = rate.min(CEILING_SHARE * (plan.ceiling_rate - plan.rate)).max(0.0);
+            burst = burst.min(CEILING_SHARE * (plan.ceiling_burst - plan.burst)).max(0.0);
+        }
+        let spread = f64::from(customer.spread);
+        customer.share.refill(now, rate / spread, burst / spread) >= units
+    }
+
+    fn fall_back(&mut self, now: Time, id: JobId, plan: &Plan, out: &mut Vec<Action>) {
+        let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
+        if self.share_covers(now, &key, plan, units) {
+            self.spend(now, id, units, true, out);
+        } else {
+            self.end(now, &id, units * f64::from(self.customers[&key].spread) / plan.rate, out);
+        }
+    }
+
+    fn spend(&mut self, now: Time, id: JobId, units: f64, off_count: bool, out: &mut Vec<Action>) {
+        let key = self.jobs[&id].request.customer.clone();
+        let customer = self.customers.get_mut(&key).expect("spending customers are known");
+        if off_count {
+            customer.owed += units;
+        } else {
+            customer.lease -= units;
+        }
+        customer.share.level = (customer.share.level - units).max(0.0);
+        self.send_first(now, id, out);
+    }
+
+    fn ask(&mut self, now: Time, key: &CustomerId, plan: &Plan, out: &mut Vec<Action>) {
+        let (window, age) = window(plan, key, now);
+        let customer = self.customers.get_mut(key).expect("asked for known customers only");
+        let need: f64 = customer.held.iter().map(|id| self.jobs[id].request.units).sum();
+        let demand = customer.demand.level / DEMAND_MEMORY;
+        let mut spare = demand * BLOCK_SPAN;
+        if let Some(mut level) = customer.level {
+            spare = spare.min(level.refill(now, plan.rate, plan.burst) / f64::from(customer.spread));
+        }
+        let want = (need + spare - customer.lease).ceil().max(0.0);
+        let owed = customer.owed;
+        let stale = customer.level.is_none_or(|l| customer.window != window && l.at + REFRESH < now - age);
+        customer.window = window;
+        customer.late = false;
+        self.next_token += 1;
+        let token = self.next_token;
+        customer.asking = Some(token);
+        if stale && window > 0 {
+            self.call(key, window - 1, 0.0, Why::Read, plan, out);
+        }
+        self.call(key, window, want + owed, Why::Ask { want, owed }, plan, out);
+        self.due.insert(token, Due::Hold(key.clone(), token));
+        out.push(Action::Timer { token, at: now + HOLD_SHARE * self.set.count_limit });
+    }
+
+    fn call(
+        &mut self,
+        key: &CustomerId,
+        window: u64,
+        step: f64,
+        why: Why,
+        plan: &Plan,
+        out: &mut Vec<Action>,
+    ) {
+        let index = self.customers[key].plan as u64;
+        let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes()]);
+        let call = Call { customer: key.clone(), window, step, why };
+        self.calls.entry(counter).or_default().push_back(call);
+        self.calls_out += 1.0;
+        out.push(Action::Count { counter, amount: step, ttl: (2.2 * window_length(plan)).min(60.0) });
+    }
+
+    fn counted(
+        &mut self,
+        now: Time,
+        name: u64,
+        status: Status,
+        total: f64,
+        spent: f64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(queue) = self.calls.get_mut(&name) else { return };
+        let Some(call) = queue.pop_front() else { return };
+        if queue.is_empty() {
+            self.calls.remove(&name);
+        }
+        self.calls_out -= 1.0;
+        let (low, high, _) = CALLS_OUT;
+        if status == Status::Ok {
+            self.misses = 0;
+            self.quiet_until = 0.0;
+            if spent < HOLD_SHARE * self.set.count_limit {
+                self.calls_limit = (self.calls_limit + 1.0 / self.calls_limit).min(high);
+            } else {
+                self.calls_limit = (self.calls_limit * 0.8).max(low);
+            }
+        } else {
+            self.misses += 1;
+            self.calls_limit = (self.calls_limit * 0.5).max(low);
+            if self.misses >= 2 {
+                self.quiet_until = now + QUIET_LIMITS * self.set.count_limit;
+            }
+        }
+        let Some(customer) = self.customers.get_mut(&call.customer) else { return };
+        let plan = self.set.plans[customer.plan].clone();
+        if status == Status::Ok {
+            self.settle(now, &call, total, &plan, out);
+        } else if let Why::Ask { owed, .. } = call.why {
+            // A lost call may have added: what was owed counts as told, so that no debt is paid twice.
+            if status == Status::Timeout {
+                customer.owed -= owed;
+            }
+        }
+        if let Why::Ask { .. } = call.why {
+            let customer = self.customers.get_mut(&call.customer).expect("seen above");
+            customer.asking = None;
+            let held = std::mem::take(&mut customer.held);
+            for id in held {
+                self.serve_held(now, id, status == Status::Ok, &plan, out);
+            }
+        }
+    }
+
+    fn serve_held(&mut self, now: Time, id: JobId, answered: bool, plan: &Plan, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
+        let (units, customer) = (job.request.units, &self.customers[&job.request.customer]);
+        if customer.lease >= units {
+            self.spend(now, id, units, false, out);
+        } else if answered {
+            let left = customer.level.map_or(0.0, |l| l.level);
+            self.end(now, &id, (units - left).max(0.0) / plan.rate, out);
+        } else {
+            self.fall_back(now, id, plan, out);
+        }
+    }
+
+    /// Reads a total: the window's limit is the burst plus what the rate has refilled since it began.
+    ///
+    /// Whoever finds a count at nothing is first in a window, or finds it emptied: it adds what was not
+    /// left over, from the level it knows. Where more is left than the burst, the rest lapses: it is added.
+    fn settle(&mut self, now: Time, call: &Call, total: f64, plan: &Plan, out: &mut Vec<Action>) {
+        let (window, age) = window(plan, &call.customer, now);
+        let customer = self.customers.get_mut(&call.customer).expect("settled for known customers only");
+        let limit = plan.burst + plan.rate * age;
+        let prior = total - call.step;
+        match call.why {
+            Why::Correct => {}
+            Why::Read if prior > 1e-6 && call.window + 1 == window => {
+                let level =
+                    (limit + plan.rate * window_length(plan) - total - plan.rate * age).min(plan.burst);
+                customer.level = Some(Store { level, at: now - age });
+            }
+            Why::Read => {}
+            Why::Ask { want, owed } => {
+                customer.owed -= owed;
+                let shift = (window - call.window.min(window)) as f64 * plan.rate * window_length(plan);
+                let before = limit + shift - prior;
+                let mut left = before.min(plan.burst);
+                if let (true, Some(mut known)) = (prior.abs() < 1e-6, customer.level) {
+                    left = left.min(known.refill(now, plan.rate, plan.burst));
+                }
+                let lapsed = before - left;
+                let granted = want.min((left - owed + 1e-6).floor().max(0.0));
+                customer.lease += granted;
+                customer.level = Some(Store { level: left - owed - granted, at: now });
+                let mut correction = granted - want;
+                if lapsed > LAPSE_SLACK * plan.burst || prior.abs() < 1e-6 {
+                    correction += lapsed;
+                }
+                if correction.abs() > 1e-6 {
+                    self.call(&call.customer, call.window, correction, Why::Correct, plan, out);
+                }
+                self.watch_lease(now, &call.customer, out);
+            }
+        }
+    }
+
+    fn watch_lease(&mut self, now: Time, key: &CustomerId, out: &mut Vec<Action>) {
+        let customer = self.customers.get_mut(key).expect("watched for known customers only");
+        if customer.lease > 0.0 && !customer.lease_timer {
+            customer.lease_timer = true;
+            self.set_timer(now + REFRESH, Due::Lease(key.clone()), out);
+        }
+    }
+
+    /// Gives back what demand no longer needs, so that a block does not strand where traffic dried up.
+    fn return_lease(&mut self, now: Time, key: &CustomerId, out: &mut Vec<Action>) {
+        let usable = self.calls_out < self.calls_limit && now >= self.quiet_until;
+        let Some(customer) = self.customers.get_mut(key) else { return };
+        customer.lease_timer = false;
+        let plan = self.set.plans[customer.plan].clone();
+        note_demand(&mut customer.demand, now, 0.0, DEMAND_MEMORY);
+        let spare = (customer.lease - customer.demand.level / DEMAND_MEMORY * BLOCK_SPAN).floor();
+        let (current, _) = window(&plan, key, now);
+        if spare >= 1.0 && customer.asking.is_none() && usable && customer.window == current {
+            customer.lease -= spare;
+            if let Some(level) = &mut customer.level {
+                level.level += spare;
+            }
+            self.call(key, current, -spare, Why::Correct, &plan, out);
+        } else if customer.window != current {
+            customer.lease = 0.0; // Lapsed with its window.
+        }
+        self.watch_lease(now, key, out);
+    }
+
+    // ---- Attempts and the final answer ----
+
+    fn has_room(&mut self, id: &JobId, now: Time) -> bool {
+        let job = self.jobs.remove(id).expect("asked for a held job");
+        let room = self.choose(&job, now, 1.0).is_some();
+        self.jobs.insert(id.clone(), job);
+        room
+    }
+
+    fn send_first(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+        self.further = (self.further + FURTHER.0).min(FURTHER.1);
+        if !self.send(now, &id, 1.0, out) {
+            self.end(now, &id, self.set.max_retry_after, out);
+        }
+    }
+
+    /// Begins an attempt where the rules and a server's bound allow one.
+    fn send(&mut self, now: Time, id: &JobId, share: f64, out: &mut Vec<Action>) -> bool {
+        let Some(mut job) = self.jobs.remove(id) else { return false };
+        let class = self.set.classes[job.request.class].clone();
+        let useful = if class.late_worth > 0.0 { f64::INFINITY } else { job.arrived + class.aim };
+        let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - now;
+        let tries = job.attempts.len() < self.set.max_attempts as usize;
+        let server = if tries && timeout > 0.0 && !job.over { self.choose(&job, now, share) } else { None };
+        if let Some(server) = &server {
+            let host = self.servers.get_mut(server).expect("chosen from the list");
+            host.inflight += 1.0;
+            host.cold.level -= job.request.units.max(1.0);
+            if let Some(customer) = self.customers.get_mut(&job.request.customer) {
+                customer.open += 1;
+            }
+            note_demand(&mut self.sent_units, now, job.request.units, RATE_MEMORY);
+            out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
+            job.attempts.push(Attempt { server: server.clone(), sent: now, ran: Ran::Out });
+            let delay = (HEDGE_AIM * class.aim).max(3.0 * self.latency);
+            if self.set.second_copies && delay < timeout {
+                self.set_timer(now + delay, Due::Hedge(id.clone()), out);
+            }
+        }
+        self.jobs.insert(id.clone(), job);
+        server.is_some()
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn outcome(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        attempt: u32,
+        status: Status,
+        over: bool,
+        settled: Option<f64>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(tried) = job.attempts.get_mut(attempt as usize) else { return };
+        if tried.ran == Ran::Out {
+            let never = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
+            tried.ran = if never { Ran::Never } else { Ran::Maybe };
+            if let Some(customer) = self.customers.get_mut(&job.request.customer) {
+                customer.open = customer.open.saturating_sub(1);
+                if let Some(units) = settled {
+                    customer.owed += units - job.request.units;
+                }
+            }
+        }
+        if over {
+            return self.over(id);
+        }
+        if job.over {
+            return self.over(id);
+        }
+        if job.streaming || job.out() > 0 {
+            return;
+        }
+        if self.further >= 1.0 && status != Status::Timeout && self.send(now, id, 1.0, out) {
+            self.further -= 1.0;
+            return;
+        }
+        self.end(now, id, self.latency, out);
+    }
+
+    fn hedge(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.over && !j.streaming && j.out() == 1) else { return };
+        // Slowness seen early: an attempt still out stands for an answer at least this slow.
+        if let Some(tried) = job.attempts.iter().find(|a| a.ran == Ran::Out)
+            && let Some(host) = self.servers.get_mut(&tried.server)
+        {
+            host.latency += LATENCY_GAIN * (now - tried.sent - host.latency).max(0.0);
+        }
+        if self.further >= 1.0 && self.send(now, id, PRESSED_AIM, out) {
+            self.further -= 1.0;
+        }
+    }
+
+    /// Gives the one final answer, refusing where a retry is known to do no harm.
+    fn end(&mut self, _now: Time, id: &JobId, retry_after: f64, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
+        if self.may_refuse(job) {
+            let advice =
+                if self.set.retry_after { retry_after.clamp(0.0, self.set.max_retry_after) } else { 0.0 };
+            out.push(Action::Refuse { job: id.clone(), retry_after: advice });
+        } else {
+            out.push(Action::Fail { job: id.clone() });
+        }
+        self.over(id);
+    }
+
+    /// The request is over; it is kept only while attempts are out.
+    fn over(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.over = true;
+            if job.out() == 0 {
+                self.jobs.remove(id);
+            }
+        }
+    }
+
+    // ---- Timers ----
+
+    fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
+        match self.due.remove(&token) {
+            Some(Due::Hold(key, asked)) => self.stop_holding(now, &key, asked, out),
+            Some(Due::Lease(key)) => self.return_lease(now, &key, out),
+            Some(Due::Hedge(id)) => self.hedge(now, &id, out),
+            Some(Due::Sweep) => {
+                self.customers.retain(|_, c| {
+                    now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
+                });
+                self.set_timer(now + FORGET, Due::Sweep, out);
+            }
+            None => {}
+        }
+    }
+
+    /// A slow counter must not hold requests: after a few milliseconds the safe share decides.
+    fn stop_holding(&mut self, now: Time, key: &CustomerId, asked: u64, out: &mut Vec<Action>) {
+        let Some(customer) = self.customers.get_mut(key) else { return };
+        if customer.asking != Some(asked) {
+            return;
+        }
+        customer.late = true;
+        let plan = self.set.plans[customer.plan].clone();
+        for id in std::mem::take(&mut customer.held) {
+            self.serve_held(now, id, false, &plan, out);
+        }
+    }
+}
+
+/// Adds units to a decaying sum; the sum over its memory is the recent rate.
+fn note_demand(sum: &mut Store, now: Time, units: f64, memory: f64) {
+    sum.level = sum.level * (-(now - sum.at) / memory).exp() + units;
+    sum.at = now;
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,113 @@
+//! A harness that drives the module alone and keeps what it returned.
+#![allow(dead_code)]
+
+use weirusher::*;
+
+pub struct Rig {
+    pub gateway: Gateway,
+    pub now: Time,
+    pub actions: Vec<Action>,
+}
+
+pub fn plan(rate: f64, burst: f64) -> Plan {
+    let mut plan = Plan::default();
+    (plan.rate, plan.burst, plan.pays) = (rate, burst, 1.0);
+    plan
+}
+
+pub fn settings() -> Settings {
+    let mut s = Settings::default();
+    (s.gateways, s.has_counter, s.second_copies, s.max_attempts) = (2, true, true, 3);
+    (s.may_cancel, s.cold, s.cold_from, s.fall_multiple, s.fall) = (true, 10.0, 0.2, 2.0, 1.0);
+    s.classes = vec![Class::default()];
+    s.plans = vec![plan(10.0, 20.0)];
+    s
+}
+
+pub fn server(name: &str, lifecycle: Lifecycle, started: Time) -> Server {
+    Server { id: name.into(), zone: 0, cell: 0, started, lifecycle }
+}
+
+pub fn request(job: &str, now: Time) -> Request {
+    Request {
+        job: job.into(),
+        units: 1.0,
+        expires: now + 3.0,
+        plan: 0,
+        spread: 2,
+        class: 0,
+        customer: "c".into(),
+        repeat: false,
+    }
+}
+
+impl Rig {
+    pub fn new(settings: Settings) -> Self {
+        let mut rig = Self::empty(settings);
+        let servers = ["a", "b", "c"].map(|n| server(n, Lifecycle::Running, 0.0)).to_vec();
+        rig.list(ListKind::Stale, servers);
+        rig
+    }
+
+    pub fn empty(settings: Settings) -> Self {
+        Self { gateway: Gateway::new(settings, 7).expect("usable settings"), now: 100.0, actions: Vec::new() }
+    }
+
+    pub fn list(&mut self, kind: ListKind, servers: Vec<Server>) {
+        self.event(Event::List { kind, servers });
+    }
+
+    /// Handles one event and returns what it led to.
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.gateway.handle(self.now, event, &mut out);
+        self.actions.extend(out.iter().cloned());
+        out
+    }
+
+    pub fn ask(&mut self, job: &str) -> Vec<Action> {
+        let request = request(job, self.now);
+        self.event(Event::Request(request))
+    }
+
+    pub fn counted(&mut self, counter: u64, status: Status, total: f64) -> Vec<Action> {
+        self.event(Event::Counted { counter, status, total, spent: 0.002 })
+    }
+
+    pub fn outcome(&mut self, job: &str, attempt: u32, server: &ServerId, status: Status) -> Vec<Action> {
+        self.event(Event::Outcome {
+            job: job.into(),
+            attempt,
+            server: server.clone(),
+            status,
+            spent: 0.1,
+            over: status == Status::Ok,
+            settled: None,
+            load: Load::default(),
+        })
+    }
+}
+
+pub fn counts(actions: &[Action]) -> Vec<(u64, f64)> {
+    let count = |a: &Action| match a {
+        Action::Count { counter, amount, .. } => Some((*counter, *amount)),
+        _ => None,
+    };
+    actions.iter().filter_map(count).collect()
+}
+
+pub fn sends(actions: &[Action]) -> Vec<(JobId, ServerId)> {
+    let send = |a: &Action| match a {
+        Action::Send { job, server, .. } => Some((job.clone(), server.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+pub fn refused(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count()
+}
+
+pub fn failed(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Fail { .. })).count()
+}
