--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,14 +38,20 @@
 const FURTHER: (f64, f64) = (0.1, 10.0);
 /// Share of the cold budget that all gateways together plan to use.
 const COLD_SHARE: f64 = 0.4;
+/// A server is slow when its mean latency passes that of all servers by more than one over this.
+const OUTLIER: f64 = 0.6;
 /// Seconds over which the rate of sends is averaged.
 const RATE_MEMORY: f64 = 3.0;
+/// Seconds over which the most that a server carried is forgotten: about a warm-up.
+const PEAK_MEMORY: f64 = 20.0;
 /// Weight of a new latency in a server's mean.
 const LATENCY_GAIN: f64 = 0.15;
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds a server is first and at most put out for.
 const EJECT: (f64, f64) = (1.0, 8.0);
+/// Share of the servers that may be put out at once: more failing together is no server's own fault.
+const EJECT_MOST: f64 = 0.5;
 /// Attempts a gateway starts with on a server before it has learned more.
 const FIRST_LIMIT: f64 = 4.0;
 /// Seconds after which an idle customer is forgotten; longer than any window.
@@ -151,9 +157,10 @@
     limit: f64,
     latency: f64,
     failures: u32,
+    gone: bool,
     out_until: Time,
     out_for: f64,
-    cut_at: Time,
+    beside: f64,
     cold: Store,
 }
 
@@ -173,6 +180,8 @@
     misses: u32,
     quiet_until: Time,
     sent_units: Store,
+    carried: f64,
+    carried_at: Time,
     latency: f64,
     further: f64,
 }
@@ -251,6 +260,8 @@
             misses: 0,
             quiet_until: 0.0,
             sent_units: Store::default(),
+            carried: 0.0,
+            carried_at: 0.0,
             latency: 0.0,
             further: FURTHER.1,
         })
@@ -312,16 +323,17 @@
                 limit: FIRST_LIMIT,
                 latency,
                 failures: 0,
+                gone: false,
                 out_until: 0.0,
                 out_for: EJECT.0,
-                cut_at: 0.0,
+                beside: 0.0,
                 cold: Store { level: 0.0, at: now },
             });
             host.lifecycle = entry.lifecycle;
             if entry.started > host.cold_since {
                 // A new life: what was learned of the old one does not hold.
                 (host.cold_since, host.limit, host.latency) = (entry.started, FIRST_LIMIT, latency);
-                (host.failures, host.out_until, host.out_for) = (0, 0.0, EJECT.0);
+                (host.failures, host.gone, host.out_until, host.out_for) = (0, false, 0.0, EJECT.0);
                 host.cold = Store { level: 0.0, at: now };
             }
         }
@@ -329,27 +341,30 @@
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
     fn observe(&mut self, now: Time, server: &ServerId, status: Status, spent: f64) {
+        let running = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running);
+        let (all, sick) =
+            running.fold((0.0, 0.0), |(a, s), h| (a + 1.0, s + f64::from(u8::from(now < h.out_until))));
+        let crowded = sick >= all * EJECT_MOST;
         let Some(host) = self.servers.get_mut(server) else { return };
+        let beside = host.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
-                if host.failures >= EJECT_AFTER {
-                    // It was out and answers again: it may have restarted unannounced, so suspect it cold.
-                    host.cold_since = now;
-                    host.limit = 1.0;
+                if host.gone {
+                    // It was unreachable and answers again: it may have restarted untold, so suspect it cold.
+                    (host.cold_since, host.limit, host.gone) = (now, 1.0, false);
                 }
-                host.failures = 0;
-                host.out_for = EJECT.0;
+                (host.failures, host.out_for) = (0, EJECT.0);
             }
             Status::Full => host.limit = (host.limit * 0.7).max(1.0),
-            Status::ConnectFailed => host.failures += EJECT_AFTER,
+            Status::ConnectFailed => (host.failures, host.gone) = (EJECT_AFTER, true),
+            Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
         }
-        if host.failures >= EJECT_AFTER && now >= host.out_until {
+        if host.failures >= EJECT_AFTER && now >= host.out_until && !crowded {
             host.out_until = now + host.out_for;
             host.out_for = (host.out_for * 2.0).min(EJECT.1);
-            host.limit = 1.0;
         }
         if !matches!(status, Status::Ok | Status::Timeout) {
             return;
@@ -357,15 +372,11 @@
         let mean = |old: f64| if old == 0.0 { spent } else { old + LATENCY_GAIN * (spent - old) };
         host.latency = mean(host.latency);
         self.latency = mean(self.latency);
+        host.beside =
+            if host.beside == 0.0 { beside } else { host.beside + LATENCY_GAIN * (beside - host.beside) };
+        // Little's law: what may be out for answers to take the wanted share of the aim, whoever loads it.
         let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        if host.latency > PRESSED_AIM * aim {
-            if now - host.cut_at > host.latency {
-                host.limit = (host.limit * 0.8).max(1.0);
-                host.cut_at = now;
-            }
-        } else if host.inflight + 1.0 >= host.limit * 0.7 {
-            host.limit += 1.0 / host.limit;
-        }
+        host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(1.0);
     }
 
     /// The share of its capacity that a server can be trusted to have.
@@ -383,6 +394,10 @@
     fn cold_room(&mut self, id: &ServerId, now: Time) -> f64 {
         let usable = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running).count().max(1);
         let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
+        // The most of late: when all are refused the mean falls, and the budget must not fall with it.
+        self.carried = mean.max(self.carried * (-(now - self.carried_at) / PEAK_MEMORY).exp());
+        self.carried_at = now;
+        let mean = self.carried;
         let warmth = self.warmth(&self.servers[id], now);
         if warmth >= 1.0 {
             return f64::INFINITY;
@@ -412,8 +427,9 @@
             {
                 continue;
             }
-            let wait = host.latency.max(1e-3) * (1.0 + host.inflight) / self.warmth(host, now);
-            let score = wait * (1.0 + 0.1 * self.rng.f64());
+            // Noise in a mean must not steer: only a server clearly slower than the fleet is sent less.
+            let slow = (host.latency / self.latency.max(1e-3) * OUTLIER).max(1.0);
+            let score = (1.0 + host.inflight) * slow / self.warmth(host, now) + self.rng.f64();
             if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id, now) >= 1.0 {
                 best = Some((score, id));
             }
@@ -458,7 +474,7 @@
             && request.plan < self.set.plans.len()
             && request.units.is_finite()
             && request.units >= 0.0
-            && request.expires > now;
+            && request.expires > now + HOLD_SHARE * self.set.count_limit + 2.0 * self.set.step;
         let job = Job { request, arrived: now, attempts: Vec::new(), over: false, streaming: false };
         let full = self.jobs.len() >= self.set.max_open as usize;
         self.jobs.insert(id.clone(), job);
