--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,9 @@
 const REFRESH: f64 = 1.0;
 /// Share of the burst by which the count may lag behind what has lapsed before it is put right.
 const LAPSE_SLACK: f64 = 0.25;
+/// Length of the windows that count open attempts, in aims: far over an answer's time, as each turn forgets
+/// what is out, and short enough for what a killed gateway held.
+const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
 const HOLD_SHARE: f64 = 0.3;
 /// Counter calls that may be out: at least, at most and at the start; the counter's speed moves it.
@@ -72,6 +75,14 @@
     ran: Ran,
 }
 
+/// A place among the attempts that a plan lets be out at once; `Held` names the window it counts in.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Slot {
+    None,
+    Asked,
+    Held(u64),
+}
+
 #[derive(Debug)]
 struct Job {
     request: Request,
@@ -79,6 +90,7 @@
     attempts: Vec<Attempt>,
     over: bool,
     streaming: bool,
+    slot: Slot,
 }
 
 impl Job {
@@ -124,11 +136,12 @@
 }
 
 /// Why a count was called.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 enum Why {
     Ask { want: f64, owed: f64 },
     Read,
     Correct,
+    Slot(JobId),
 }
 
 #[derive(Debug)]
@@ -144,6 +157,7 @@
     Hold(CustomerId, u64),
     Lease(CustomerId),
     Hedge(JobId),
+    Slot(JobId),
     Sweep,
 }
 
@@ -195,36 +209,25 @@
 }
 
 fn check(s: &Settings) -> Result<(), SettingsError> {
-    let good = |name, v: f64| {
-        if v.is_finite() && v >= 0.0 { Ok(()) } else { Err(SettingsError::BadNumber(name)) }
-    };
     if s.gateways == 0 {
         return Err(SettingsError::NoGateways);
     }
     if s.me >= s.gateways {
         return Err(SettingsError::MeOutOfRange);
     }
-    good("count_limit", s.count_limit)?;
-    good("max_retry_after", s.max_retry_after)?;
-    good("cold_from", s.cold_from)?;
-    good("cold", s.cold)?;
-    good("fall_multiple", s.fall_multiple)?;
-    good("fall", s.fall)?;
-    good("step", s.step)?;
-    for c in &s.classes {
-        good("aim", c.aim)?;
-        good("late_worth", c.late_worth)?;
-    }
+    let mut figures = vec![("count_limit", s.count_limit), ("max_retry_after", s.max_retry_after)];
+    figures.extend([("cold_from", s.cold_from), ("cold", s.cold), ("step", s.step)]);
+    figures.extend([("fall_multiple", s.fall_multiple), ("fall", s.fall)]);
+    figures.extend(s.classes.iter().flat_map(|c| [("aim", c.aim), ("late_worth", c.late_worth)]));
     for p in &s.plans {
-        good("rate", p.rate)?;
-        good("burst", p.burst)?;
-        good("pays", p.pays)?;
-        good("excess_worth", p.excess_worth)?;
-        good("overrun_cost", p.overrun_cost)?;
-        good("ceiling_rate", p.ceiling_rate)?;
-        good("ceiling_burst", p.ceiling_burst)?;
-    }
-    Ok(())
+        figures.extend([("rate", p.rate), ("burst", p.burst), ("pays", p.pays)]);
+        figures.extend([("excess_worth", p.excess_worth), ("overrun_cost", p.overrun_cost)]);
+        figures.extend([("ceiling_rate", p.ceiling_rate), ("ceiling_burst", p.ceiling_burst)]);
+    }
+    match figures.into_iter().find(|(_, v)| !v.is_finite() || *v < 0.0) {
+        Some((name, _)) => Err(SettingsError::BadNumber(name)),
+        None => Ok(()),
+    }
 }
 
 fn window_length(plan: &Plan) -> f64 {
@@ -475,11 +478,18 @@
             && request.units.is_finite()
             && request.units >= 0.0
             && request.expires > now + HOLD_SHARE * self.set.count_limit + 2.0 * self.set.step;
-        let job = Job { request, arrived: now, attempts: Vec::new(), over: false, streaming: false };
+        let job = Job {
+            request,
+            arrived: now,
+            attempts: Vec::new(),
+            over: false,
+            streaming: false,
+            slot: Slot::None,
+        };
         let full = self.jobs.len() >= self.set.max_open as usize;
         self.jobs.insert(id.clone(), job);
         if !known || full {
-            return self.end(now, &id, 0.0, out);
+            return self.end(&id, 0.0, out);
         }
         self.admit(now, id, out);
     }
@@ -510,14 +520,11 @@
         });
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, now);
         note_demand(&mut customer.demand, now, request.units, DEMAND_MEMORY);
-        if plan.open > 0 && customer.open >= plan.open {
-            return self.end(now, &id, self.latency, out);
-        }
         if !self.has_room(&id, now) {
-            return self.end(now, &id, self.set.max_retry_after, out);
+            return self.end(&id, self.set.max_retry_after, out);
         }
         if plan.rate <= 0.0 {
-            return self.send_first(now, id, out);
+            return self.spend(now, id, 0.0, false, out);
         }
         self.cover(now, id, &plan, out);
     }
@@ -538,7 +545,7 @@
             let left = level.refill(now, plan.rate, plan.burst);
             if left + customer.lease + 1e-6 < units {
                 let wait = (units - left - customer.lease) / plan.rate;
-                return self.end(now, &id, wait, out);
+                return self.end(&id, wait, out);
             }
         }
         if customer.asking.is_none() && usable {
@@ -572,7 +579,7 @@
         if self.share_covers(now, &key, plan, units) {
             self.spend(now, id, units, true, out);
         } else {
-            self.end(now, &id, units * f64::from(self.customers[&key].spread) / plan.rate, out);
+            self.end(&id, units * f64::from(self.customers[&key].spread) / plan.rate, out);
         }
     }
 
@@ -580,12 +587,78 @@
         let key = self.jobs[&id].request.customer.clone();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         if off_count {
-            customer.owed += units;
+            // No more than a share's burst: the rest was paid by the refill of the time it was spent in.
+            let most = self.set.plans[customer.plan].burst / f64::from(customer.spread);
+            customer.owed = (customer.owed + units).min(most);
         } else {
             customer.lease -= units;
         }
         customer.share.level = (customer.share.level - units).max(0.0);
-        self.send_first(now, id, out);
+        let usable = self.set.has_counter && self.calls_out < self.calls_limit && now >= self.quiet_until;
+        let plan = self.set.plans[customer.plan].clone();
+        if plan.open == 0 {
+            self.send_first(now, id, out);
+        } else if usable {
+            self.jobs.get_mut(&id).expect("spending jobs are held").slot = Slot::Asked;
+            self.call(&key, self.slot_window(now), 1.0, Why::Slot(id.clone()), &plan, out);
+            self.set_timer(now + HOLD_SHARE * self.set.count_limit, Due::Slot(id), out);
+        } else {
+            self.slot_share(now, &id, out);
+        }
+    }
+
+    fn slot_window(&self, now: Time) -> u64 {
+        let aim = self.set.classes.iter().map(|c| c.aim).fold(1e-3, f64::max);
+        (now / (SLOT_AIMS * aim)).max(0.0) as u64
+    }
+
+    /// An open cap while the counter is quiet: an even share of it, and one at least.
+    fn slot_share(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over) else { return };
+        job.slot = Slot::None;
+        let customer = &self.customers[&job.request.customer];
+        let share = (self.set.plans[customer.plan].open / customer.spread).max(1);
+        if customer.open < share { self.send_first(now, id.clone(), out) } else { self.no_slot(id, out) }
+    }
+
+    fn no_slot(&mut self, id: &JobId, out: &mut Vec<Action>) {
+        let request = &self.jobs[id].request;
+        if let Some(customer) = self.customers.get_mut(&request.customer) {
+            customer.lease += request.units; // Not sent, so not spent.
+        }
+        let wait = self.latency;
+        self.end(id, wait, out);
+    }
+
+    /// The answer to a slot call: the count of what is out at all gateways decides; what came late goes back.
+    fn slot_answer(
+        &mut self,
+        now: Time,
+        id: &JobId,
+        window: u64,
+        fits: Option<bool>,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over && j.slot == Slot::Asked) else {
+            return false;
+        };
+        match fits {
+            Some(true) => {
+                job.slot = Slot::Held(window);
+                self.send_first(now, id.clone(), out);
+            }
+            Some(false) => self.no_slot(id, out),
+            None => self.slot_share(now, id, out),
+        }
+        fits == Some(true)
+    }
+
+    fn release_slot(&mut self, id: &JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Slot::Held(window) = job.slot else { return };
+        job.slot = Slot::None;
+        let (key, plan) = (job.request.customer.clone(), self.set.plans[job.request.plan].clone());
+        self.call(&key, window, -1.0, Why::Slot(id.clone()), &plan, out);
     }
 
     fn ask(&mut self, now: Time, key: &CustomerId, plan: &Plan, out: &mut Vec<Action>) {
@@ -623,7 +696,8 @@
         out: &mut Vec<Action>,
     ) {
         let index = self.customers[key].plan as u64;
-        let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes()]);
+        let kind: &[u8] = if matches!(why, Why::Slot(_)) { b"open" } else { b"" };
+        let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes(), kind]);
         let call = Call { customer: key.clone(), window, step, why };
         self.calls.entry(counter).or_default().push_back(call);
         self.calls_out += 1.0;
@@ -663,6 +737,14 @@
         }
         let Some(customer) = self.customers.get_mut(&call.customer) else { return };
         let plan = self.set.plans[customer.plan].clone();
+        if let Why::Slot(id) = &call.why {
+            let fits = (status == Status::Ok).then_some(total <= f64::from(plan.open) + 1e-6);
+            let kept = call.step < 0.0 || self.slot_answer(now, id, call.window, fits, out);
+            if !kept && status == Status::Ok {
+                self.call(&call.customer, call.window, -1.0, call.why.clone(), &plan, out);
+            }
+            return;
+        }
         if status == Status::Ok {
             self.settle(now, &call, total, &plan, out);
         } else if let Why::Ask { owed, .. } = call.why {
@@ -688,7 +770,7 @@
             self.spend(now, id, units, false, out);
         } else if answered {
             let left = customer.level.map_or(0.0, |l| l.level);
-            self.end(now, &id, (units - left).max(0.0) / plan.rate, out);
+            self.end(&id, (units - left).max(0.0) / plan.rate, out);
         } else {
             self.fall_back(now, id, plan, out);
         }
@@ -704,7 +786,7 @@
         let limit = plan.burst + plan.rate * age;
         let prior = total - call.step;
         match call.why {
-            Why::Correct => {}
+            Why::Correct | Why::Slot(_) => {}
             Why::Read if prior > 1e-6 && call.window + 1 == window => {
                 let level =
                     (limit + plan.rate * window_length(plan) - total - plan.rate * age).min(plan.burst);
@@ -776,7 +858,7 @@
     fn send_first(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
         self.further = (self.further + FURTHER.0).min(FURTHER.1);
         if !self.send(now, &id, 1.0, out) {
-            self.end(now, &id, self.set.max_retry_after, out);
+            self.end(&id, self.set.max_retry_after, out);
         }
     }
 
@@ -830,12 +912,15 @@
                 }
             }
         }
-        if over {
-            return self.over(id);
+        let idle = job.out() == 0;
+        let done = over || job.over;
+        if idle {
+            self.release_slot(id, out);
         }
-        if job.over {
+        if done {
             return self.over(id);
         }
+        let job = &self.jobs[id];
         if job.streaming || job.out() > 0 {
             return;
         }
@@ -843,7 +928,7 @@
             self.further -= 1.0;
             return;
         }
-        self.end(now, id, self.latency, out);
+        self.end(id, self.latency, out);
     }
 
     fn hedge(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
@@ -860,7 +945,7 @@
     }
 
     /// Gives the one final answer, refusing where a retry is known to do no harm.
-    fn end(&mut self, _now: Time, id: &JobId, retry_after: f64, out: &mut Vec<Action>) {
+    fn end(&mut self, id: &JobId, retry_after: f64, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
         if self.may_refuse(job) {
             let advice =
@@ -889,13 +974,16 @@
             Some(Due::Hold(key, asked)) => self.stop_holding(now, &key, asked, out),
             Some(Due::Lease(key)) => self.return_lease(now, &key, out),
             Some(Due::Hedge(id)) => self.hedge(now, &id, out),
+            Some(Due::Slot(id)) if self.jobs.get(&id).is_some_and(|j| j.slot == Slot::Asked) => {
+                self.slot_share(now, &id, out);
+            }
             Some(Due::Sweep) => {
                 self.customers.retain(|_, c| {
                     now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
                 });
                 self.set_timer(now + FORGET, Due::Sweep, out);
             }
-            None => {}
+            Some(Due::Slot(_)) | None => {}
         }
     }
 
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -24,7 +24,7 @@
 
 #[test]
 fn a_lease_is_spent_at_once_and_a_drained_count_refuses_at_once() {
-    let (mut rig, name) = seen(settings());
+    let (mut rig, _) = seen(settings());
     let mut out = rig.ask("i");
     while counts(&out).is_empty() {
         assert_eq!(sends(&out).len(), 1, "a covered request is sent at once");
@@ -32,6 +32,7 @@
     }
     let calls = counts(&out);
     assert!(sends(&out).is_empty() && calls.len() == 1, "an uncovered request is held for a block");
+    let name = calls[0].0;
     let out = rig.counted(name, Status::Ok, 1000.0);
     assert_eq!((sends(&out).len(), refused(&out)), (0, 1), "nothing fits, so it is refused at once");
     assert_eq!(counts(&out), vec![(name, -calls[0].1)], "the excess is added back");
