--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,7 @@
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
-const PRESSED_AIM: f64 = 0.5;
+const PRESSED_AIM: f64 = 0.3;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
