--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,7 +34,7 @@
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
-const PRESSED_AIM: f64 = 0.3;
+const PRESSED_AIM: f64 = 0.2;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
@@ -57,6 +57,9 @@
 const EJECT_MOST: f64 = 0.5;
 /// Attempts a gateway starts with on a server before it has learned more.
 const FIRST_LIMIT: f64 = 4.0;
+/// Least bound on a server, attempts; under one, the sum of all bounds limits what is out: with many gateways
+/// one each is too much for a slow server.
+const LEAST_LIMIT: f64 = 0.2;
 /// Seconds after which an idle customer is forgotten; longer than any window.
 const FORGET: f64 = 60.0;
 
@@ -379,7 +382,7 @@
             if host.beside == 0.0 { beside } else { host.beside + LATENCY_GAIN * (beside - host.beside) };
         // Little's law: what may be out for answers to take the wanted share of the aim, whoever loads it.
         let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
-        host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(1.0);
+        host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(LEAST_LIMIT);
     }
 
     /// The share of its capacity that a server can be trusted to have.
@@ -413,6 +416,11 @@
     /// The server that should answer first, among those this job may go to; `None`: all are full.
     fn choose(&mut self, job: &Job, now: Time, share: f64) -> Option<ServerId> {
         let anchor = self.anchor(job, now)?;
+        let up = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running && now >= h.out_until);
+        let (bound, busy) = up.fold((0.0, 0.0), |(b, n), h| (b + h.limit, n + h.inflight));
+        if busy >= (bound * share).max(1.0) {
+            return None;
+        }
         let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
         let mut best: Option<(f64, ServerId)> = None;
         for id in ids {
@@ -477,7 +485,7 @@
             && request.plan < self.set.plans.len()
             && request.units.is_finite()
             && request.units >= 0.0
-            && request.expires > now + HOLD_SHARE * self.set.count_limit + 2.0 * self.set.step;
+            && request.expires > now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
         let job = Job {
             request,
             arrived: now,
