--- a/src/logic.rs
+++ b/src/logic.rs
@@ -117,7 +117,7 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Customer {
     plan: usize,
     spread: u32,
@@ -164,11 +164,11 @@
     Sweep,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Host {
     zone: u32,
     cell: u32,
-    lifecycle: Lifecycle,
+    running: bool,
     cold_since: Time,
     inflight: f64,
     limit: f64,
@@ -185,6 +185,8 @@
 #[derive(Debug)]
 pub struct Gateway {
     set: Settings,
+    now: Time,
+    out: Vec<Action>,
     rng: fastrand::Rng,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
@@ -254,6 +256,8 @@
         check(&settings)?;
         Ok(Self {
             set: settings,
+            now: 0.0,
+            out: Vec::new(),
             rng: fastrand::Rng::with_seed(seed),
             jobs: BTreeMap::new(),
             customers: BTreeMap::new(),
@@ -273,84 +277,82 @@
         })
     }
 
-    /// Takes one event at `now` and appends what is to be done, in order.
+    /// Takes one event at `self.now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
         match event {
-            Event::List { kind, servers } => self.list(now, kind, servers, actions),
-            Event::Request(request) => self.request(now, request, actions),
+            Event::List { kind, servers } => self.list(kind, servers),
+            Event::Request(request) => self.request(request),
             Event::FirstByte { job } => {
                 if let Some(job) = self.jobs.get_mut(&job) {
                     job.streaming = true;
                 }
             }
             Event::Outcome { job, attempt, server, status, spent, over, settled, load: _ } => {
-                self.observe(now, &server, status, spent);
-                self.outcome(now, &job, attempt, status, over, settled, actions);
+                self.observe(&server, status, spent);
+                self.outcome(&job, attempt, status, over, settled);
             }
             Event::Left { job } => self.over(&job),
-            Event::Timer { token } => self.timer(now, token, actions),
+            Event::Timer { token } => self.timer(token),
             Event::Probed { server, status, .. } => {
                 if let (Some(host), Status::Ok) = (self.servers.get_mut(&server), status) {
-                    host.out_until = host.out_until.min(now);
+                    host.out_until = host.out_until.min(self.now);
                 }
             }
-            Event::Counted { counter, status, total, spent } => {
-                self.counted(now, counter, status, total, spent, actions)
-            }
+            Event::Counted { counter, status, total, spent } => self.counted(counter, status, total, spent),
         }
+        actions.append(&mut self.out);
+    }
+
+    fn usable(&self) -> bool {
+        self.set.has_counter && self.calls_out < self.calls_limit && self.now >= self.quiet_until
     }
 
-    fn set_timer(&mut self, at: Time, due: Due, out: &mut Vec<Action>) {
+    fn aim(&self) -> f64 {
+        self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
+    }
+
+    fn set_timer(&mut self, at: Time, due: Due) {
         self.next_token += 1;
         self.due.insert(self.next_token, due);
-        out.push(Action::Timer { token: self.next_token, at });
+        self.out.push(Action::Timer { token: self.next_token, at });
     }
 
     // ---- Servers: the list, health, choice ----
 
-    fn list(&mut self, now: Time, kind: ListKind, servers: Vec<Server>, out: &mut Vec<Action>) {
+    fn list(&mut self, kind: ListKind, servers: Vec<Server>) {
         if self.set.must_ask && matches!(kind, ListKind::Stale | ListKind::Failed) {
-            out.push(Action::Watch);
+            self.out.push(Action::Watch);
         }
         if kind == ListKind::Stale {
-            self.set_timer(now + FORGET, Due::Sweep, out);
+            self.set_timer(self.now + FORGET, Due::Sweep);
         }
         if kind == ListKind::Full {
-            self.servers.values_mut().for_each(|h| h.lifecycle = Lifecycle::Gone);
+            self.servers.values_mut().for_each(|h| h.running = false);
         }
         let latency = self.latency;
         for entry in servers {
-            let host = self.servers.entry(entry.id).or_insert_with(|| Host {
-                zone: entry.zone,
-                cell: entry.cell,
-                lifecycle: entry.lifecycle,
-                cold_since: entry.started,
-                inflight: 0.0,
-                limit: FIRST_LIMIT,
-                latency,
-                failures: 0,
-                gone: false,
-                out_until: 0.0,
-                out_for: EJECT.0,
-                beside: 0.0,
-                cold: Store { level: 0.0, at: now },
-            });
-            host.lifecycle = entry.lifecycle;
-            if entry.started > host.cold_since {
-                // A new life: what was learned of the old one does not hold.
-                (host.cold_since, host.limit, host.latency) = (entry.started, FIRST_LIMIT, latency);
-                (host.failures, host.gone, host.out_until, host.out_for) = (0, false, 0.0, EJECT.0);
-                host.cold = Store { level: 0.0, at: now };
+            let host = self.servers.entry(entry.id).or_default();
+            (host.zone, host.cell) = (entry.zone, entry.cell);
+            if host.limit == 0.0 || entry.started > host.cold_since {
+                // A new server or a new life: nothing learned of an old one holds. What is out stays out.
+                let cold = Store { level: 0.0, at: self.now };
+                let (inflight, cold_since) = (host.inflight, entry.started);
+                let Host { zone, cell, .. } = *host;
+                *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
+                (host.limit, host.out_for) = (FIRST_LIMIT, EJECT.0);
             }
+            host.running = entry.lifecycle == Lifecycle::Running;
         }
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
-    fn observe(&mut self, now: Time, server: &ServerId, status: Status, spent: f64) {
-        let running = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running);
+    fn observe(&mut self, server: &ServerId, status: Status, spent: f64) {
+        let running = self.servers.values().filter(|h| h.running);
         let (all, sick) =
-            running.fold((0.0, 0.0), |(a, s), h| (a + 1.0, s + f64::from(u8::from(now < h.out_until))));
+            running.fold((0.0, 0.0), |(a, s), h| (a + 1.0, s + f64::from(u8::from(self.now < h.out_until))));
         let crowded = sick >= all * EJECT_MOST;
+        let aim = self.aim();
         let Some(host) = self.servers.get_mut(server) else { return };
         let beside = host.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
@@ -359,7 +361,7 @@
             Status::Ok => {
                 if host.gone {
                     // It was unreachable and answers again: it may have restarted untold, so suspect it cold.
-                    (host.cold_since, host.limit, host.gone) = (now, 1.0, false);
+                    (host.cold_since, host.limit, host.gone) = (self.now, 1.0, false);
                 }
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
@@ -368,8 +370,8 @@
             Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
         }
-        if host.failures >= EJECT_AFTER && now >= host.out_until && !crowded {
-            host.out_until = now + host.out_for;
+        if host.failures >= EJECT_AFTER && self.now >= host.out_until && !crowded {
+            host.out_until = self.now + host.out_for;
             host.out_for = (host.out_for * 2.0).min(EJECT.1);
         }
         if !matches!(status, Status::Ok | Status::Timeout) {
@@ -381,42 +383,41 @@
         host.beside =
             if host.beside == 0.0 { beside } else { host.beside + LATENCY_GAIN * (beside - host.beside) };
         // Little's law: what may be out for answers to take the wanted share of the aim, whoever loads it.
-        let aim = self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(LEAST_LIMIT);
     }
 
     /// The share of its capacity that a server can be trusted to have.
-    fn warmth(&self, host: &Host, now: Time) -> f64 {
+    fn warmth(&self, host: &Host) -> f64 {
         if host.cold_since <= 0.0 || self.set.cold <= 0.0 {
             return 1.0;
         }
-        let age = ((now - host.cold_since) / self.set.cold).clamp(0.0, 1.0);
+        let age = ((self.now - host.cold_since) / self.set.cold).clamp(0.0, 1.0);
         self.set.cold_from + (1.0 - self.set.cold_from) * age
     }
 
     /// Rule 4: a cold server's budget, in units, from what a server is sent on average by this gateway;
     /// every gateway does the same, so together they stay under the multiple. Harms nothing but a fleet
     /// that is all cold, where it slows the climb.
-    fn cold_room(&mut self, id: &ServerId, now: Time) -> f64 {
-        let usable = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running).count().max(1);
+    fn cold_room(&mut self, id: &ServerId) -> f64 {
+        let usable = self.servers.values().filter(|h| h.running).count().max(1);
         let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
-        self.carried = mean.max(self.carried * (-(now - self.carried_at) / PEAK_MEMORY).exp());
-        self.carried_at = now;
+        self.carried = mean.max(self.carried * (-(self.now - self.carried_at) / PEAK_MEMORY).exp());
+        self.carried_at = self.now;
         let mean = self.carried;
-        let warmth = self.warmth(&self.servers[id], now);
+        let warmth = self.warmth(&self.servers[id]);
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
         let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * mean;
         let host = self.servers.get_mut(id).expect("the caller names a known server");
-        host.cold.refill(now, rate, (rate * self.set.fall / 2.0).max(1.0))
+        host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
     /// The server that should answer first, among those this job may go to; `None`: all are full.
-    fn choose(&mut self, job: &Job, now: Time, share: f64) -> Option<ServerId> {
-        let anchor = self.anchor(job, now)?;
-        let up = self.servers.values().filter(|h| h.lifecycle == Lifecycle::Running && now >= h.out_until);
+    fn choose(&mut self, job: &Job, share: f64) -> Option<ServerId> {
+        let anchor = self.anchor(job)?;
+        let up = self.servers.values().filter(|h| h.running && self.now >= h.out_until);
         let (bound, busy) = up.fold((0.0, 0.0), |(b, n), h| (b + h.limit, n + h.inflight));
         if busy >= (bound * share).max(1.0) {
             return None;
@@ -430,8 +431,8 @@
                 Group::Zone => host.zone == zone,
                 Group::Cell => host.cell == cell && host.zone == zone,
             });
-            if host.lifecycle != Lifecycle::Running
-                || now < host.out_until
+            if !host.running
+                || self.now < host.out_until
                 || !in_group
                 || host.inflight >= (host.limit * share).max(1.0)
                 || job.attempts.iter().any(|a| a.server == id)
@@ -440,8 +441,8 @@
             }
             // Noise in a mean must not steer: only a server clearly slower than the fleet is sent less.
             let slow = (host.latency / self.latency.max(1e-3) * OUTLIER).max(1.0);
-            let score = (1.0 + host.inflight) * slow / self.warmth(host, now) + self.rng.f64();
-            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id, now) >= 1.0 {
+            let score = (1.0 + host.inflight) * slow / self.warmth(host) + self.rng.f64();
+            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
                 best = Some((score, id));
             }
         }
@@ -450,7 +451,7 @@
 
     /// Rule 2: `None`: no further attempt may go out; `Some(None)`: anywhere; else only to that group.
     #[allow(clippy::option_option)]
-    fn anchor(&self, job: &Job, now: Time) -> Option<Option<(Group, u32, u32)>> {
+    fn anchor(&self, job: &Job) -> Option<Option<(Group, u32, u32)>> {
         if job.out() > 0 && !self.set.second_copies {
             return None;
         }
@@ -460,7 +461,7 @@
             Effect::Unsafe => None,
             Effect::Keyed { group, window } => {
                 let host = self.servers.get(&first.server)?;
-                (now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
+                (self.now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
             }
         }
     }
@@ -476,7 +477,7 @@
 
     // ---- Admission ----
 
-    fn request(&mut self, now: Time, request: Request, out: &mut Vec<Action>) {
+    fn request(&mut self, request: Request) {
         let id = request.job.clone();
         if self.jobs.contains_key(&id) {
             return;
@@ -485,10 +486,10 @@
             && request.plan < self.set.plans.len()
             && request.units.is_finite()
             && request.units >= 0.0
-            && request.expires > now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
+            && request.expires > self.now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
         let job = Job {
             request,
-            arrived: now,
+            arrived: self.now,
             attempts: Vec::new(),
             over: false,
             streaming: false,
@@ -497,81 +498,69 @@
         let full = self.jobs.len() >= self.set.max_open as usize;
         self.jobs.insert(id.clone(), job);
         if !known || full {
-            return self.end(&id, 0.0, out);
+            return self.end(&id, 0.0);
         }
-        self.admit(now, id, out);
+        self.admit(id);
     }
 
-    fn admit(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+    fn admit(&mut self, id: JobId) {
         let request = self.jobs[&id].request.clone();
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(|| Customer {
-            plan: request.plan,
-            spread,
-            lease: 0.0,
-            owed: 0.0,
-            demand: Store { level: 0.0, at: now },
+            // Rule 5: a restarted gateway does not know what it spent under a ceiling.
             share: Store {
-                // Rule 5: a restarted gateway does not know what it spent under a ceiling.
                 level: if plan.ceiling_rate > 0.0 { 0.0 } else { plan.burst / f64::from(spread) },
-                at: now,
+                at: self.now,
             },
-            level: None,
-            window: 0,
-            asking: None,
-            late: false,
-            held: VecDeque::new(),
-            open: 0,
-            touched: now,
-            lease_timer: false,
+            ..Customer::default()
         });
-        (customer.plan, customer.spread, customer.touched) = (request.plan, spread, now);
-        note_demand(&mut customer.demand, now, request.units, DEMAND_MEMORY);
-        if !self.has_room(&id, now) {
-            return self.end(&id, self.set.max_retry_after, out);
+        (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
+        note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
+        if !self.has_room(&id) {
+            return self.end(&id, self.set.max_retry_after);
         }
         if plan.rate <= 0.0 {
-            return self.spend(now, id, 0.0, false, out);
+            return self.spend(id, 0.0, false);
         }
-        self.cover(now, id, &plan, out);
+        self.cover(id, &plan);
     }
 
     /// The ordinary path: lease, else block, else refusal; the safe share while the counter is quiet.
-    fn cover(&mut self, now: Time, id: JobId, plan: &Plan, out: &mut Vec<Action>) {
+    fn cover(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        let usable = self.set.has_counter && self.calls_out < self.calls_limit && now >= self.quiet_until;
+        let usable = self.usable();
         let customer = self.customers.get_mut(&key).expect("admitted customers are known");
         if customer.lease >= units {
-            return self.spend(now, id, units, false, out);
+            return self.spend(id, units, false);
         }
         if customer.asking.is_some() && !customer.late {
             customer.held.push_back(id);
             return;
         }
-        if let Some(mut level) = customer.level.filter(|l| now - l.at < REFRESH) {
-            let left = level.refill(now, plan.rate, plan.burst);
+        if let Some(mut level) = customer.level.filter(|l| self.now - l.at < REFRESH) {
+            let left = level.refill(self.now, plan.rate, plan.burst);
             if left + customer.lease + 1e-6 < units {
                 let wait = (units - left - customer.lease) / plan.rate;
-                return self.end(&id, wait, out);
+                return self.end(&id, wait);
             }
         }
         if customer.asking.is_none() && usable {
             let unseen = customer.level.is_none();
             customer.held.push_back(id.clone());
-            self.ask(now, &key, plan, out);
-            if unseen && self.share_covers(now, &key, plan, units) {
+            self.ask(&key, plan);
+            if unseen && self.share_covers(&key, plan, units) {
                 self.customers.get_mut(&key).expect("still known").held.pop_back();
-                self.spend(now, id, units, true, out);
+                self.spend(id, units, true);
             }
             return;
         }
-        self.fall_back(now, id, plan, out);
+        self.fall_back(id, plan);
     }
 
     /// Safe mode: an even share of rate and burst. Under a ceiling the share is cut to what stands between
     /// quota and ceiling, as the count may have granted the whole quota already (rule 5).
-    fn share_covers(&mut self, now: Time, key: &CustomerId, plan: &Plan, units: f64) -> bool {
+    fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
         if plan.ceiling_rate > 0.0 {
@@ -579,19 +568,19 @@
             burst = burst.min(CEILING_SHARE * (plan.ceiling_burst - plan.burst)).max(0.0);
         }
         let spread = f64::from(customer.spread);
-        customer.share.refill(now, rate / spread, burst / spread) >= units
+        customer.share.refill(self.now, rate / spread, burst / spread) >= units
     }
 
-    fn fall_back(&mut self, now: Time, id: JobId, plan: &Plan, out: &mut Vec<Action>) {
+    fn fall_back(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        if self.share_covers(now, &key, plan, units) {
-            self.spend(now, id, units, true, out);
+        if self.share_covers(&key, plan, units) {
+            self.spend(id, units, true);
         } else {
-            self.end(&id, units * f64::from(self.customers[&key].spread) / plan.rate, out);
+            self.end(&id, units * f64::from(self.customers[&key].spread) / plan.rate);
         }
     }
 
-    fn spend(&mut self, now: Time, id: JobId, units: f64, off_count: bool, out: &mut Vec<Action>) {
+    fn spend(&mut self, id: JobId, units: f64, off_count: bool) {
         let key = self.jobs[&id].request.customer.clone();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         if off_count {
@@ -602,159 +591,115 @@
             customer.lease -= units;
         }
         customer.share.level = (customer.share.level - units).max(0.0);
-        let usable = self.set.has_counter && self.calls_out < self.calls_limit && now >= self.quiet_until;
         let plan = self.set.plans[customer.plan].clone();
         if plan.open == 0 {
-            self.send_first(now, id, out);
-        } else if usable {
-            self.jobs.get_mut(&id).expect("spending jobs are held").slot = Slot::Asked;
-            self.call(&key, self.slot_window(now), 1.0, Why::Slot(id.clone()), &plan, out);
-            self.set_timer(now + HOLD_SHARE * self.set.count_limit, Due::Slot(id), out);
+            return self.send_first(id);
+        }
+        self.jobs.get_mut(&id).expect("spending jobs are held").slot = Slot::Asked;
+        if self.usable() {
+            let window = (self.now / (SLOT_AIMS * self.aim())).max(0.0) as u64;
+            self.call(&key, window, 1.0, Why::Slot(id.clone()), &plan);
+            self.set_timer(self.now + HOLD_SHARE * self.set.count_limit, Due::Slot(id));
         } else {
-            self.slot_share(now, &id, out);
+            self.slot_answer(&id, 0, None);
         }
     }
 
-    fn slot_window(&self, now: Time) -> u64 {
-        let aim = self.set.classes.iter().map(|c| c.aim).fold(1e-3, f64::max);
-        (now / (SLOT_AIMS * aim)).max(0.0) as u64
-    }
-
-    /// An open cap while the counter is quiet: an even share of it, and one at least.
-    fn slot_share(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over) else { return };
-        job.slot = Slot::None;
-        let customer = &self.customers[&job.request.customer];
+    /// An open cap: the count of what is out at all gateways decides; with no answer (`None`) an even share of
+    /// the cap, one at least. Tells whether the slot is kept; one that came late goes back.
+    fn slot_answer(&mut self, id: &JobId, window: u64, fits: Option<bool>) -> bool {
+        let asked = |j: &&mut Job| !j.over && j.slot == Slot::Asked;
+        let Some(job) = self.jobs.get_mut(id).filter(asked) else { return false };
+        let customer = self.customers.get_mut(&job.request.customer).expect("asking customers are known");
         let share = (self.set.plans[customer.plan].open / customer.spread).max(1);
-        if customer.open < share { self.send_first(now, id.clone(), out) } else { self.no_slot(id, out) }
-    }
-
-    fn no_slot(&mut self, id: &JobId, out: &mut Vec<Action>) {
-        let request = &self.jobs[id].request;
-        if let Some(customer) = self.customers.get_mut(&request.customer) {
-            customer.lease += request.units; // Not sent, so not spent.
-        }
-        let wait = self.latency;
-        self.end(id, wait, out);
-    }
-
-    /// The answer to a slot call: the count of what is out at all gateways decides; what came late goes back.
-    fn slot_answer(
-        &mut self,
-        now: Time,
-        id: &JobId,
-        window: u64,
-        fits: Option<bool>,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.over && j.slot == Slot::Asked) else {
-            return false;
-        };
-        match fits {
-            Some(true) => {
-                job.slot = Slot::Held(window);
-                self.send_first(now, id.clone(), out);
-            }
-            Some(false) => self.no_slot(id, out),
-            None => self.slot_share(now, id, out),
+        job.slot = if fits == Some(true) { Slot::Held(window) } else { Slot::None };
+        if fits.unwrap_or(customer.open < share) {
+            self.send_first(id.clone());
+        } else {
+            customer.lease += job.request.units; // Not sent, so not spent; without a rate it is never read.
+            self.end(id, self.latency);
         }
         fits == Some(true)
     }
 
-    fn release_slot(&mut self, id: &JobId, out: &mut Vec<Action>) {
+    fn release_slot(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Slot::Held(window) = job.slot else { return };
         job.slot = Slot::None;
         let (key, plan) = (job.request.customer.clone(), self.set.plans[job.request.plan].clone());
-        self.call(&key, window, -1.0, Why::Slot(id.clone()), &plan, out);
+        self.call(&key, window, -1.0, Why::Slot(id.clone()), &plan);
     }
 
-    fn ask(&mut self, now: Time, key: &CustomerId, plan: &Plan, out: &mut Vec<Action>) {
-        let (window, age) = window(plan, key, now);
+    fn ask(&mut self, key: &CustomerId, plan: &Plan) {
+        let (window, age) = window(plan, key, self.now);
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let need: f64 = customer.held.iter().map(|id| self.jobs[id].request.units).sum();
         let demand = customer.demand.level / DEMAND_MEMORY;
         let mut spare = demand * BLOCK_SPAN;
         if let Some(mut level) = customer.level {
-            spare = spare.min(level.refill(now, plan.rate, plan.burst) / f64::from(customer.spread));
+            spare = spare.min(level.refill(self.now, plan.rate, plan.burst) / f64::from(customer.spread));
         }
         let want = (need + spare - customer.lease).ceil().max(0.0);
         let owed = customer.owed;
-        let stale = customer.level.is_none_or(|l| customer.window != window && l.at + REFRESH < now - age);
+        let stale =
+            customer.level.is_none_or(|l| customer.window != window && l.at + REFRESH < self.now - age);
         customer.window = window;
         customer.late = false;
         self.next_token += 1;
         let token = self.next_token;
         customer.asking = Some(token);
         if stale && window > 0 {
-            self.call(key, window - 1, 0.0, Why::Read, plan, out);
+            self.call(key, window - 1, 0.0, Why::Read, plan);
         }
-        self.call(key, window, want + owed, Why::Ask { want, owed }, plan, out);
+        self.call(key, window, want + owed, Why::Ask { want, owed }, plan);
         self.due.insert(token, Due::Hold(key.clone(), token));
-        out.push(Action::Timer { token, at: now + HOLD_SHARE * self.set.count_limit });
-    }
-
-    fn call(
-        &mut self,
-        key: &CustomerId,
-        window: u64,
-        step: f64,
-        why: Why,
-        plan: &Plan,
-        out: &mut Vec<Action>,
-    ) {
+        self.out.push(Action::Timer { token, at: self.now + HOLD_SHARE * self.set.count_limit });
+    }
+
+    fn call(&mut self, key: &CustomerId, window: u64, step: f64, why: Why, plan: &Plan) {
         let index = self.customers[key].plan as u64;
         let kind: &[u8] = if matches!(why, Why::Slot(_)) { b"open" } else { b"" };
         let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes(), kind]);
         let call = Call { customer: key.clone(), window, step, why };
         self.calls.entry(counter).or_default().push_back(call);
         self.calls_out += 1.0;
-        out.push(Action::Count { counter, amount: step, ttl: (2.2 * window_length(plan)).min(60.0) });
-    }
-
-    fn counted(
-        &mut self,
-        now: Time,
-        name: u64,
-        status: Status,
-        total: f64,
-        spent: f64,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(queue) = self.calls.get_mut(&name) else { return };
-        let Some(call) = queue.pop_front() else { return };
-        if queue.is_empty() {
-            self.calls.remove(&name);
-        }
-        self.calls_out -= 1.0;
+        let length = if kind.is_empty() { window_length(plan) } else { SLOT_AIMS * self.aim() };
+        self.out.push(Action::Count { counter, amount: step, ttl: (2.2 * length).min(60.0) });
+    }
+
+    /// The counter's speed bounds how many calls may be out; when it is silent, only trial calls go.
+    fn pace_calls(&mut self, status: Status, spent: f64) {
         let (low, high, _) = CALLS_OUT;
-        if status == Status::Ok {
-            self.misses = 0;
-            self.quiet_until = 0.0;
-            if spent < HOLD_SHARE * self.set.count_limit {
-                self.calls_limit = (self.calls_limit + 1.0 / self.calls_limit).min(high);
-            } else {
-                self.calls_limit = (self.calls_limit * 0.8).max(low);
-            }
-        } else {
-            self.misses += 1;
-            self.calls_limit = (self.calls_limit * 0.5).max(low);
-            if self.misses >= 2 {
-                self.quiet_until = now + QUIET_LIMITS * self.set.count_limit;
-            }
+        self.calls_out -= 1.0;
+        let quick = status == Status::Ok && spent < HOLD_SHARE * self.set.count_limit;
+        self.calls_limit *= if status == Status::Ok { 0.8 } else { 0.5 };
+        if quick {
+            self.calls_limit = (self.calls_limit / 0.8 + 1.0 / self.calls_limit).min(high);
+        }
+        self.calls_limit = self.calls_limit.max(low);
+        self.misses = if status == Status::Ok { 0 } else { self.misses + 1 };
+        let quiet = if self.misses >= 2 { QUIET_LIMITS * self.set.count_limit } else { 0.0 };
+        self.quiet_until = self.now + quiet;
+    }
+
+    fn counted(&mut self, name: u64, status: Status, total: f64, spent: f64) {
+        let Some(call) = self.calls.get_mut(&name).and_then(VecDeque::pop_front) else { return };
+        if self.calls[&name].is_empty() {
+            self.calls.remove(&name);
         }
+        self.pace_calls(status, spent);
         let Some(customer) = self.customers.get_mut(&call.customer) else { return };
         let plan = self.set.plans[customer.plan].clone();
         if let Why::Slot(id) = &call.why {
             let fits = (status == Status::Ok).then_some(total <= f64::from(plan.open) + 1e-6);
-            let kept = call.step < 0.0 || self.slot_answer(now, id, call.window, fits, out);
+            let kept = call.step < 0.0 || self.slot_answer(id, call.window, fits);
             if !kept && status == Status::Ok {
-                self.call(&call.customer, call.window, -1.0, call.why.clone(), &plan, out);
+                self.call(&call.customer, call.window, -1.0, call.why.clone(), &plan);
             }
             return;
         }
         if status == Status::Ok {
-            self.settle(now, &call, total, &plan, out);
+            self.settle(&call, total, &plan);
         } else if let Why::Ask { owed, .. } = call.why {
             // A lost call may have added: what was owed counts as told, so that no debt is paid twice.
             if status == Status::Timeout {
@@ -766,21 +711,21 @@
             customer.asking = None;
             let held = std::mem::take(&mut customer.held);
             for id in held {
-                self.serve_held(now, id, status == Status::Ok, &plan, out);
+                self.serve_held(id, status == Status::Ok, &plan);
             }
         }
     }
 
-    fn serve_held(&mut self, now: Time, id: JobId, answered: bool, plan: &Plan, out: &mut Vec<Action>) {
+    fn serve_held(&mut self, id: JobId, answered: bool, plan: &Plan) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
         let (units, customer) = (job.request.units, &self.customers[&job.request.customer]);
         if customer.lease >= units {
-            self.spend(now, id, units, false, out);
+            self.spend(id, units, false);
         } else if answered {
             let left = customer.level.map_or(0.0, |l| l.level);
-            self.end(&id, (units - left).max(0.0) / plan.rate, out);
+            self.end(&id, (units - left).max(0.0) / plan.rate);
         } else {
-            self.fall_back(now, id, plan, out);
+            self.fall_back(id, plan);
         }
     }
 
@@ -788,8 +733,8 @@
     ///
     /// Whoever finds a count at nothing is first in a window, or finds it emptied: it adds what was not
     /// left over, from the level it knows. Where more is left than the burst, the rest lapses: it is added.
-    fn settle(&mut self, now: Time, call: &Call, total: f64, plan: &Plan, out: &mut Vec<Action>) {
-        let (window, age) = window(plan, &call.customer, now);
+    fn settle(&mut self, call: &Call, total: f64, plan: &Plan) {
+        let (window, age) = window(plan, &call.customer, self.now);
         let customer = self.customers.get_mut(&call.customer).expect("settled for known customers only");
         let limit = plan.burst + plan.rate * age;
         let prior = total - call.step;
@@ -798,7 +743,7 @@
             Why::Read if prior > 1e-6 && call.window + 1 == window => {
                 let level =
                     (limit + plan.rate * window_length(plan) - total - plan.rate * age).min(plan.burst);
-                customer.level = Some(Store { level, at: now - age });
+                customer.level = Some(Store { level, at: self.now - age });
             }
             Why::Read => {}
             Why::Ask { want, owed } => {
@@ -807,77 +752,78 @@
                 let before = limit + shift - prior;
                 let mut left = before.min(plan.burst);
                 if let (true, Some(mut known)) = (prior.abs() < 1e-6, customer.level) {
-                    left = left.min(known.refill(now, plan.rate, plan.burst));
+                    left = left.min(known.refill(self.now, plan.rate, plan.burst));
                 }
                 let lapsed = before - left;
                 let granted = want.min((left - owed + 1e-6).floor().max(0.0));
                 customer.lease += granted;
-                customer.level = Some(Store { level: left - owed - granted, at: now });
+                customer.level = Some(Store { level: left - owed - granted, at: self.now });
                 let mut correction = granted - want;
                 if lapsed > LAPSE_SLACK * plan.burst || prior.abs() < 1e-6 {
                     correction += lapsed;
                 }
                 if correction.abs() > 1e-6 {
-                    self.call(&call.customer, call.window, correction, Why::Correct, plan, out);
+                    self.call(&call.customer, call.window, correction, Why::Correct, plan);
                 }
-                self.watch_lease(now, &call.customer, out);
+                self.watch_lease(&call.customer);
             }
         }
     }
 
-    fn watch_lease(&mut self, now: Time, key: &CustomerId, out: &mut Vec<Action>) {
+    fn watch_lease(&mut self, key: &CustomerId) {
         let customer = self.customers.get_mut(key).expect("watched for known customers only");
         if customer.lease > 0.0 && !customer.lease_timer {
             customer.lease_timer = true;
-            self.set_timer(now + REFRESH, Due::Lease(key.clone()), out);
+            self.set_timer(self.now + REFRESH, Due::Lease(key.clone()));
         }
     }
 
     /// Gives back what demand no longer needs, so that a block does not strand where traffic dried up.
-    fn return_lease(&mut self, now: Time, key: &CustomerId, out: &mut Vec<Action>) {
-        let usable = self.calls_out < self.calls_limit && now >= self.quiet_until;
+    fn return_lease(&mut self, key: &CustomerId) {
+        let usable = self.usable();
         let Some(customer) = self.customers.get_mut(key) else { return };
         customer.lease_timer = false;
         let plan = self.set.plans[customer.plan].clone();
-        note_demand(&mut customer.demand, now, 0.0, DEMAND_MEMORY);
+        note_demand(&mut customer.demand, self.now, 0.0, DEMAND_MEMORY);
         let spare = (customer.lease - customer.demand.level / DEMAND_MEMORY * BLOCK_SPAN).floor();
-        let (current, _) = window(&plan, key, now);
+        let (current, _) = window(&plan, key, self.now);
         if spare >= 1.0 && customer.asking.is_none() && usable && customer.window == current {
             customer.lease -= spare;
             if let Some(level) = &mut customer.level {
                 level.level += spare;
             }
-            self.call(key, current, -spare, Why::Correct, &plan, out);
+            self.call(key, current, -spare, Why::Correct, &plan);
         } else if customer.window != current {
             customer.lease = 0.0; // Lapsed with its window.
         }
-        self.watch_lease(now, key, out);
+        self.watch_lease(key);
     }
 
     // ---- Attempts and the final answer ----
 
-    fn has_room(&mut self, id: &JobId, now: Time) -> bool {
+    fn has_room(&mut self, id: &JobId) -> bool {
         let job = self.jobs.remove(id).expect("asked for a held job");
-        let room = self.choose(&job, now, 1.0).is_some();
+        let room = self.choose(&job, 1.0).is_some();
         self.jobs.insert(id.clone(), job);
         room
     }
 
-    fn send_first(&mut self, now: Time, id: JobId, out: &mut Vec<Action>) {
+    fn send_first(&mut self, id: JobId) {
         self.further = (self.further + FURTHER.0).min(FURTHER.1);
-        if !self.send(now, &id, 1.0, out) {
-            self.end(&id, self.set.max_retry_after, out);
+        if !self.send(&id, 1.0) {
+            self.release_slot(&id);
+            self.end(&id, self.set.max_retry_after);
         }
     }
 
     /// Begins an attempt where the rules and a server's bound allow one.
-    fn send(&mut self, now: Time, id: &JobId, share: f64, out: &mut Vec<Action>) -> bool {
+    fn send(&mut self, id: &JobId, share: f64) -> bool {
         let Some(mut job) = self.jobs.remove(id) else { return false };
         let class = self.set.classes[job.request.class].clone();
         let useful = if class.late_worth > 0.0 { f64::INFINITY } else { job.arrived + class.aim };
-        let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - now;
+        let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
         let tries = job.attempts.len() < self.set.max_attempts as usize;
-        let server = if tries && timeout > 0.0 && !job.over { self.choose(&job, now, share) } else { None };
+        let server = if tries && timeout > 0.0 && !job.over { self.choose(&job, share) } else { None };
         if let Some(server) = &server {
             let host = self.servers.get_mut(server).expect("chosen from the list");
             host.inflight += 1.0;
@@ -885,29 +831,19 @@
             if let Some(customer) = self.customers.get_mut(&job.request.customer) {
                 customer.open += 1;
             }
-            note_demand(&mut self.sent_units, now, job.request.units, RATE_MEMORY);
-            out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
-            job.attempts.push(Attempt { server: server.clone(), sent: now, ran: Ran::Out });
+            note_demand(&mut self.sent_units, self.now, job.request.units, RATE_MEMORY);
+            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
+            job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.latency);
             if self.set.second_copies && delay < timeout {
-                self.set_timer(now + delay, Due::Hedge(id.clone()), out);
+                self.set_timer(self.now + delay, Due::Hedge(id.clone()));
             }
         }
         self.jobs.insert(id.clone(), job);
         server.is_some()
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        now: Time,
-        id: &JobId,
-        attempt: u32,
-        status: Status,
-        over: bool,
-        settled: Option<f64>,
-        out: &mut Vec<Action>,
-    ) {
+    fn outcome(&mut self, id: &JobId, attempt: u32, status: Status, over: bool, settled: Option<f64>) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(tried) = job.attempts.get_mut(attempt as usize) else { return };
         if tried.ran == Ran::Out {
@@ -923,7 +859,7 @@
         let idle = job.out() == 0;
         let done = over || job.over;
         if idle {
-            self.release_slot(id, out);
+            self.release_slot(id);
         }
         if done {
             return self.over(id);
@@ -932,35 +868,35 @@
         if job.streaming || job.out() > 0 {
             return;
         }
-        if self.further >= 1.0 && status != Status::Timeout && self.send(now, id, 1.0, out) {
+        if self.further >= 1.0 && status != Status::Timeout && self.send(id, 1.0) {
             self.further -= 1.0;
             return;
         }
-        self.end(id, self.latency, out);
+        self.end(id, self.latency);
     }
 
-    fn hedge(&mut self, now: Time, id: &JobId, out: &mut Vec<Action>) {
+    fn hedge(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over && !j.streaming && j.out() == 1) else { return };
         // Slowness seen early: an attempt still out stands for an answer at least this slow.
         if let Some(tried) = job.attempts.iter().find(|a| a.ran == Ran::Out)
             && let Some(host) = self.servers.get_mut(&tried.server)
         {
-            host.latency += LATENCY_GAIN * (now - tried.sent - host.latency).max(0.0);
+            host.latency += LATENCY_GAIN * (self.now - tried.sent - host.latency).max(0.0);
         }
-        if self.further >= 1.0 && self.send(now, id, PRESSED_AIM, out) {
+        if self.further >= 1.0 && self.send(id, PRESSED_AIM) {
             self.further -= 1.0;
         }
     }
 
     /// Gives the one final answer, refusing where a retry is known to do no harm.
-    fn end(&mut self, id: &JobId, retry_after: f64, out: &mut Vec<Action>) {
+    fn end(&mut self, id: &JobId, retry_after: f64) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
         if self.may_refuse(job) {
             let advice =
                 if self.set.retry_after { retry_after.clamp(0.0, self.set.max_retry_after) } else { 0.0 };
-            out.push(Action::Refuse { job: id.clone(), retry_after: advice });
+            self.out.push(Action::Refuse { job: id.clone(), retry_after: advice });
         } else {
-            out.push(Action::Fail { job: id.clone() });
+            self.out.push(Action::Fail { job: id.clone() });
         }
         self.over(id);
     }
@@ -977,26 +913,26 @@
 
     // ---- Timers ----
 
-    fn timer(&mut self, now: Time, token: u64, out: &mut Vec<Action>) {
+    fn timer(&mut self, token: u64) {
         match self.due.remove(&token) {
-            Some(Due::Hold(key, asked)) => self.stop_holding(now, &key, asked, out),
-            Some(Due::Lease(key)) => self.return_lease(now, &key, out),
-            Some(Due::Hedge(id)) => self.hedge(now, &id, out),
-            Some(Due::Slot(id)) if self.jobs.get(&id).is_some_and(|j| j.slot == Slot::Asked) => {
-                self.slot_share(now, &id, out);
+            Some(Due::Hold(key, asked)) => self.stop_holding(&key, asked),
+            Some(Due::Lease(key)) => self.return_lease(&key),
+            Some(Due::Hedge(id)) => self.hedge(&id),
+            Some(Due::Slot(id)) => {
+                self.slot_answer(&id, 0, None);
             }
             Some(Due::Sweep) => {
                 self.customers.retain(|_, c| {
-                    now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
+                    self.now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
                 });
-                self.set_timer(now + FORGET, Due::Sweep, out);
+                self.set_timer(self.now + FORGET, Due::Sweep);
             }
-            Some(Due::Slot(_)) | None => {}
+            None => {}
         }
     }
 
     /// A slow counter must not hold requests: after a few milliseconds the safe share decides.
-    fn stop_holding(&mut self, now: Time, key: &CustomerId, asked: u64, out: &mut Vec<Action>) {
+    fn stop_holding(&mut self, key: &CustomerId, asked: u64) {
         let Some(customer) = self.customers.get_mut(key) else { return };
         if customer.asking != Some(asked) {
             return;
@@ -1004,7 +940,7 @@
         customer.late = true;
         let plan = self.set.plans[customer.plan].clone();
         for id in std::mem::take(&mut customer.held) {
-            self.serve_held(now, id, false, &plan, out);
+            self.serve_held(id, false, &plan);
         }
     }
 }
