--- a/src/logic.rs
+++ b/src/logic.rs
@@ -659,11 +659,11 @@
         }
         if status == Status::Ok {
             self.settle(&call, total, &plan);
-        } else if let Why::Ask { owed, .. } = call.why {
-            // A lost call may have added: what was owed counts as told, so that no debt is paid twice.
-            if status == Status::Timeout {
-                customer.owed -= owed;
-            }
+        } else if let (Why::Ask { want, owed }, Status::Timeout) = (&call.why, status) {
+            // A lost call has mostly added: its block is owed back, else the requests served off the count pay
+            // twice. Only while others answer: a silent counter adds nothing. Bounded, as it may be wrong.
+            let back = if self.misses < 2 { *want } else { 0.0 };
+            customer.owed = (customer.owed - owed - back).max(-plan.burst / f64::from(customer.spread));
         }
         if let Why::Ask { .. } = call.why {
             let customer = self.customers.get_mut(&call.customer).expect("seen above");
