--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,8 +24,7 @@
 const LAPSE_SLACK: f64 = 0.5;
 /// The same for the first call in a window, whose level all others start from.
 const FIRST_SLACK: f64 = 0.1;
-/// Length of the windows that count open attempts, in aims: far over an answer's time, as a turn forgets what
-/// is out, and short enough for what a killed gateway held.
+/// Windows that count open attempts, in aims: far over an answer's time, as a turn forgets what is out.
 const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
 const HOLD_SHARE: f64 = 0.3;
@@ -37,8 +36,12 @@
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
 const PRESSED_AIM: f64 = 0.2;
+/// Share of the aim that answers may take for servers to count as idle.
+const EXCESS_AIM: f64 = 0.14;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
+/// Share of the bounds that second copies may fill: they are for odd slow servers, not for a slow fleet.
+const HEDGE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
 const FURTHER: (f64, f64) = (0.1, 10.0);
 /// Share of the cold budget that all gateways together plan to use.
@@ -214,11 +217,8 @@
 }
 
 fn check(s: &Settings) -> Result<(), SettingsError> {
-    if s.gateways == 0 {
-        return Err(SettingsError::NoGateways);
-    }
     if s.me >= s.gateways {
-        return Err(SettingsError::MeOutOfRange);
+        return Err(if s.gateways == 0 { SettingsError::NoGateways } else { SettingsError::MeOutOfRange });
     }
     let mut figures = vec![("count_limit", s.count_limit), ("max_retry_after", s.max_retry_after)];
     figures.extend([("cold_from", s.cold_from), ("cold", s.cold), ("step", s.step), ("fall", s.fall)]);
@@ -252,8 +252,7 @@
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let set = settings;
-        Ok(Self { set, seed, calls_limit: CALLS_OUT.2, further: FURTHER.1, ..Self::default() })
+        Ok(Self { set: settings, seed, calls_limit: CALLS_OUT.2, further: FURTHER.1, ..Self::default() })
     }
 
     /// Takes one event at `self.now` and appends what is to be done, in order.
@@ -364,9 +363,8 @@
         self.set.cold_from + (1.0 - self.set.cold_from) * age
     }
 
-    /// Rule 4: a cold server's budget, in units, from what a server is sent on average by this gateway;
-    /// every gateway does the same, so together they stay under the multiple. Harms nothing but a fleet
-    /// that is all cold, where it slows the climb.
+    /// Rule 4: a cold server's budget from what servers carry on average; as every gateway does the same,
+    /// they stay under the multiple together. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
         let usable = self.servers.values().filter(|h| h.running).count().max(1);
         let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
@@ -503,7 +501,7 @@
             let left = level.refill(self.now, plan.rate, plan.burst);
             if left + customer.lease + 1e-6 < units {
                 let wait = (units - left - customer.lease) / plan.rate;
-                return self.end(&id, wait);
+                return self.beyond(id, wait, plan);
             }
         }
         if customer.asking.is_none() && usable {
@@ -519,8 +517,8 @@
         self.fall_back(id, plan);
     }
 
-    /// Safe mode: an even share of rate and burst. Under a ceiling the share is cut to what stands between
-    /// quota and ceiling, as the count may have granted the whole quota already (rule 5).
+    /// Safe mode: an even share of rate and burst; under a ceiling of what stands between it and the quota,
+    /// as the count may have granted the whole quota already (rule 5).
     fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
@@ -534,6 +532,20 @@
         customer.share.refill(self.now, rate / spread, (burst / spread).max(least)) >= units
     }
 
+    /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
+    /// earns more than it costs and answers come fast, it is sent; under a ceiling only within the share.
+    fn beyond(&mut self, id: JobId, wait: f64, plan: &Plan) {
+        let pays = plan.excess_worth > plan.overrun_cost && plan.open == 0;
+        let idle = self.latency < EXCESS_AIM * self.aim();
+        let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
+        if !(pays && idle) || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units) {
+            return self.end(&id, wait);
+        }
+        let share = &mut self.customers.get_mut(&key).expect("judged customers are known").share;
+        share.level = (share.level - units).max(0.0);
+        self.send_first(id);
+    }
+
     fn fall_back(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         if self.share_covers(&key, plan, units) {
@@ -586,7 +598,7 @@
     }
 
     fn release_slot(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id).filter(|j| j.out() == 0) else { return };
         let Slot::Held(window) = job.slot else { return };
         job.slot = Slot::None;
         let (key, plan) = (job.request.customer.clone(), self.set.plans[job.request.plan].clone());
@@ -660,8 +672,8 @@
         if status == Status::Ok {
             self.settle(&call, total, &plan);
         } else if let (Why::Ask { want, owed }, Status::Timeout) = (&call.why, status) {
-            // A lost call has mostly added: its block is owed back, else the requests served off the count pay
-            // twice. Only while others answer: a silent counter adds nothing. Bounded, as it may be wrong.
+            // A lost call has mostly added: its block is owed back, or requests served meanwhile pay twice.
+            // Only while others answer, as a silent counter adds nothing, and bounded, as it may be wrong.
             let back = if self.misses < 2 { *want } else { 0.0 };
             customer.owed = (customer.owed - owed - back).max(-plan.burst / f64::from(customer.spread));
         }
@@ -682,7 +694,7 @@
             self.spend(id, units, false);
         } else if answered {
             let left = customer.level.map_or(0.0, |l| l.level);
-            self.end(&id, (units - left).max(0.0) / plan.rate);
+            self.beyond(id, (units - left).max(0.0) / plan.rate, plan);
         } else {
             self.fall_back(id, plan);
         }
@@ -818,14 +830,11 @@
             }
         }
         let (idle, done, streaming) = (job.out() == 0, over || job.over, job.streaming);
-        if idle {
-            self.release_slot(id);
-        }
-        if done {
-            return self.over(id);
-        }
-        if streaming || !idle {
-            return;
+        self.release_slot(id);
+        if done || streaming || !idle {
+            return if done {
+                self.over(id)
+            };
         }
         if self.further >= 1.0 && status != Status::Timeout && self.send(id, 1.0) {
             self.further -= 1.0;
@@ -835,14 +844,8 @@
     }
 
     fn hedge(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get(id).filter(|j| !j.over && !j.streaming && j.out() == 1) else { return };
-        // Slowness seen early: an attempt still out stands for an answer at least this slow.
-        if let Some(tried) = job.attempts.iter().find(|a| a.ran == Ran::Out)
-            && let Some(host) = self.servers.get_mut(&tried.server)
-        {
-            host.latency += LATENCY_GAIN * (self.now - tried.sent - host.latency).max(0.0);
-        }
-        if self.further >= 1.0 && self.send(id, PRESSED_AIM) {
+        let waits = self.jobs.get(id).is_some_and(|j| !j.over && !j.streaming && j.out() == 1);
+        if waits && self.further >= 1.0 && self.send(id, HEDGE_ROOM) {
             self.further -= 1.0;
         }
     }
@@ -877,9 +880,7 @@
             Some(Due::Hold(key, asked)) => self.stop_holding(&key, asked),
             Some(Due::Lease(key)) => self.return_lease(&key),
             Some(Due::Hedge(id)) => self.hedge(&id),
-            Some(Due::Slot(id)) => {
-                self.slot_answer(&id, 0, None);
-            }
+            Some(Due::Slot(id)) => _ = self.slot_answer(&id, 0, None),
             Some(Due::Sweep) => {
                 self.customers.retain(|_, c| {
                     self.now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
