--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,8 +10,8 @@
 
 // ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
 
-/// Windows' length, in bursts over rate: two keep the calls at a turn few and every name short-lived.
-const WINDOW_SPANS: f64 = 2.0;
+/// Windows' length, in bursts over rate: several, as each turn costs calls.
+const WINDOW_SPANS: f64 = 4.0;
 /// Shortest and longest window, seconds: no turn within a refresh, and names last less than 60 s.
 const WINDOW_BOUNDS: (f64, f64) = (2.0, 25.0);
 /// Seconds of recent demand that a block covers: short, as demand moves and blocks strand.
