--- a/src/logic.rs
+++ b/src/logic.rs
@@ -129,7 +129,7 @@
     /// Units spent off the count; the next ask adds them.
     owed: f64,
     demand: Store,
-    /// The safe share; all local spending draws it down, so that quiet never grants a share twice.
+    /// The safe share; under a ceiling all local spending draws it down, so that quiet grants nothing twice.
     share: Store,
     /// The quota's store as the count last showed it.
     level: Option<Store>,
@@ -347,11 +347,9 @@
         if !matches!(status, Status::Ok | Status::Timeout) {
             return;
         }
-        let mean = |old: f64| if old == 0.0 { spent } else { old + LATENCY_GAIN * (spent - old) };
-        host.latency = mean(host.latency);
-        self.latency = mean(self.latency);
-        host.beside =
-            if host.beside == 0.0 { beside } else { host.beside + LATENCY_GAIN * (beside - host.beside) };
+        let mean = |old: f64, new: f64| if old == 0.0 { new } else { old + LATENCY_GAIN * (new - old) };
+        (host.latency, self.latency) = (mean(host.latency, spent), mean(self.latency, spent));
+        host.beside = mean(host.beside, beside);
         // Little's law: what may be out for answers to take the wanted share of the aim, whoever loads it.
         host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(LEAST_LIMIT);
     }
@@ -463,14 +461,11 @@
         let request = self.jobs[&id].request.clone();
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
-        let customer = self.customers.entry(request.customer.clone()).or_insert_with(|| Customer {
-            // Rule 5: a restarted gateway does not know what it spent under a ceiling.
-            share: Store {
-                level: if plan.ceiling_rate > 0.0 { 0.0 } else { plan.burst / f64::from(spread) },
-                at: self.now,
-            },
-            ..Customer::default()
-        });
+        // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
+        let first = (plan.burst / f64::from(spread)).max(request.units);
+        let share = Store { level: if plan.ceiling_rate > 0.0 { 0.0 } else { first }, at: self.now };
+        let unseen = || Customer { share, ..Customer::default() };
+        let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
         let job = self.jobs.remove(&id).expect("asked for a held job");
@@ -557,16 +552,17 @@
 
     fn spend(&mut self, id: JobId, units: f64, off_count: bool) {
         let key = self.jobs[&id].request.customer.clone();
+        let plan = self.set.plans[self.jobs[&id].request.plan].clone();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         if off_count {
             // No more than a share's burst: the rest was paid by the refill of the time it was spent in.
-            let most = self.set.plans[customer.plan].burst / f64::from(customer.spread);
+            let most = (plan.burst / f64::from(customer.spread)).max(units);
             customer.owed = (customer.owed + units).min(most);
         } else {
             customer.lease -= units;
         }
-        customer.share.level = (customer.share.level - units).max(0.0);
-        let plan = self.set.plans[customer.plan].clone();
+        let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
+        customer.share.level = (customer.share.level - drawn).max(0.0);
         if plan.open == 0 {
             return self.send_first(id);
         }
@@ -882,9 +878,8 @@
             Some(Due::Hedge(id)) => self.hedge(&id),
             Some(Due::Slot(id)) => _ = self.slot_answer(&id, 0, None),
             Some(Due::Sweep) => {
-                self.customers.retain(|_, c| {
-                    self.now - c.touched < FORGET || c.open > 0 || c.asking.is_some() || c.lease_timer
-                });
+                let idle = |c: &Customer| c.open == 0 && c.asking.is_none() && !c.lease_timer;
+                self.customers.retain(|_, c| self.now - c.touched < FORGET || !idle(c));
                 self.set_timer(self.now + FORGET, Due::Sweep);
             }
             None => {}
