--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,7 +161,7 @@
 
 #[derive(Debug, Clone)]
 enum Due {
-    Hold(CustomerId, u64),
+    Hold(CustomerId),
     Lease(CustomerId),
     Hedge(JobId),
     Slot(JobId),
@@ -282,10 +282,16 @@
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
 
-    fn set_timer(&mut self, at: Time, due: Due) {
+    /// How long a request may wait for the counter, in seconds.
+    fn hold(&self) -> f64 {
+        HOLD_SHARE * self.set.count_limit
+    }
+
+    fn set_timer(&mut self, at: Time, due: Due) -> u64 {
         self.next_token += 1;
         self.due.insert(self.next_token, due);
         self.out.push(Action::Timer { token: self.next_token, at });
+        self.next_token
     }
 
     // ---- Servers: the list, health, choice ----
@@ -446,7 +452,7 @@
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
         let known = (request.class < classes && request.plan < plans)
             && (request.units.is_finite() && request.units >= 0.0)
-            && request.expires > self.now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
+            && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
         let (arrived, attempts, slot) = (self.now, Vec::new(), Slot::None);
         let job = Job { request, arrived, attempts, over: false, streaming: false, slot };
         let full = self.jobs.len() >= self.set.max_open as usize;
@@ -570,7 +576,7 @@
         if self.usable() {
             let window = (self.now / (SLOT_AIMS * self.aim())).max(0.0) as u64;
             self.call(&key, window, 1.0, Why::Slot(id.clone()), &plan);
-            self.set_timer(self.now + HOLD_SHARE * self.set.count_limit, Due::Slot(id));
+            self.set_timer(self.now + self.hold(), Due::Slot(id));
         } else {
             self.slot_answer(&id, 0, None);
         }
@@ -615,12 +621,9 @@
         let owed = customer.owed;
         customer.window = window;
         customer.late = false;
-        self.next_token += 1;
-        let token = self.next_token;
-        customer.asking = Some(token);
         self.call(key, window, want + owed, Why::Ask { want, owed }, plan);
-        self.due.insert(token, Due::Hold(key.clone(), token));
-        self.out.push(Action::Timer { token, at: self.now + HOLD_SHARE * self.set.count_limit });
+        let token = self.set_timer(self.now + self.hold(), Due::Hold(key.clone()));
+        self.customers.get_mut(key).expect("seen above").asking = Some(token);
     }
 
     fn call(&mut self, key: &CustomerId, window: u64, step: f64, why: Why, plan: &Plan) {
@@ -638,7 +641,7 @@
     fn pace_calls(&mut self, status: Status, spent: f64) {
         let (low, high, _) = CALLS_OUT;
         self.calls_out -= 1.0;
-        let quick = status == Status::Ok && spent < HOLD_SHARE * self.set.count_limit;
+        let quick = status == Status::Ok && spent < self.hold();
         self.calls_limit *= if status == Status::Ok { 0.8 } else { 0.5 };
         if quick {
             self.calls_limit = (self.calls_limit / 0.8 + 1.0 / self.calls_limit).min(high);
@@ -873,7 +876,7 @@
 
     fn timer(&mut self, token: u64) {
         match self.due.remove(&token) {
-            Some(Due::Hold(key, asked)) => self.stop_holding(&key, asked),
+            Some(Due::Hold(key)) => self.stop_holding(&key, token),
             Some(Due::Lease(key)) => self.return_lease(&key),
             Some(Due::Hedge(id)) => self.hedge(&id),
             Some(Due::Slot(id)) => _ = self.slot_answer(&id, 0, None),
