Bound on what is out: Little's law for the whole gateway on the middle answer, choice among eight drawn

Cause: a least bound of 0.2 a server let each of hundreds of gateways hold a tenth of the fleet, and time-outs of lost answers read as overload.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,18 +52,26 @@
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried is forgotten: about a warm-up.
 const PEAK_MEMORY: f64 = 20.0;
-/// Weight of a new latency in a server's mean.
+/// Weight of a new latency in a mean.
 const LATENCY_GAIN: f64 = 0.15;
+/// Seconds after which what was heard of a server counts for little.
+const NEWS_MEMORY: f64 = 8.0;
+/// Step of the middle answer's time: up when an answer took longer, else down.
+const TYPICAL_STEP: f64 = 0.12;
+/// Most that the bound may be above what was out of late.
+const LIMIT_GROWTH: f64 = 3.0;
+/// Servers drawn at random for each choice (power of d choices).
+const CHOICES: usize = 8;
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds a server is first and at most put out for.
 const EJECT: (f64, f64) = (1.0, 8.0);
 /// Share of the servers that may be put out at once: more failing together is no server's own fault.
 const EJECT_MOST: f64 = 0.5;
-/// Attempts a gateway starts with on a server before it has learned more.
+/// Attempts a server, over all gateways, that a gateway starts with before it has learned more.
 const FIRST_LIMIT: f64 = 4.0;
-/// Least bound on a server: below one the sum of all bounds rules, as one from each of many is too much.
-const LEAST_LIMIT: f64 = 0.2;
+/// Deviations over the mean that what is out may swing while answers come fast: few requests come by chance.
+const SWING: f64 = 2.0;
 /// Seconds after which an idle customer is forgotten; longer than any window.
 const FORGET: f64 = 60.0;
 
@@ -174,14 +182,14 @@
     cell: u32,
     running: bool,
     cold_since: Time,
+    known: bool,
     inflight: f64,
-    limit: f64,
     latency: f64,
+    heard: Time,
     failures: u32,
     gone: bool,
     out_until: Time,
     out_for: f64,
-    beside: f64,
     cold: Store,
 }
 
@@ -191,7 +199,9 @@
     set: Settings,
     now: Time,
     out: Vec<Action>,
-    seed: u64,
+    rng: Option<fastrand::Rng>,
+    /// Running servers, to draw from.
+    names: Vec<ServerId>,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
     servers: BTreeMap<ServerId, Host>,
@@ -205,6 +215,10 @@
     sent_units: Store,
     carried: Store,
     latency: f64,
+    /// The middle answer's time: lost answers and sick servers do not move it, a slow fleet does.
+    typical: f64,
+    inflight: f64,
+    beside: f64,
     further: f64,
 }
 
@@ -252,7 +266,8 @@
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        Ok(Self { set: settings, seed, calls_limit: CALLS_OUT.2, further: FURTHER.1, ..Self::default() })
+        let rng = Some(fastrand::Rng::with_seed(seed));
+        Ok(Self { set: settings, rng, calls_limit: CALLS_OUT.2, further: FURTHER.1, ..Self::default() })
     }
 
     /// Takes one event at `self.now` and appends what is to be done, in order.
@@ -278,6 +293,11 @@
         self.set.has_counter && self.calls_out < self.calls_limit && self.now >= self.quiet_until
     }
 
+    /// A number from 0 to 1, from the seed.
+    fn draw(&mut self) -> f64 {
+        self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
+    }
+
     fn aim(&self) -> f64 {
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
@@ -310,38 +330,38 @@
         for entry in servers {
             let host = self.servers.entry(entry.id).or_default();
             (host.zone, host.cell) = (entry.zone, entry.cell);
-            if host.limit == 0.0 || entry.started > host.cold_since {
+            if !host.known || entry.started > host.cold_since {
                 // A new server or a new life: nothing learned of an old one holds. What is out stays out.
                 let cold = Store { level: 0.0, at: self.now };
                 let (inflight, cold_since) = (host.inflight, entry.started);
                 let Host { zone, cell, .. } = *host;
                 *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
-                (host.limit, host.out_for) = (FIRST_LIMIT, EJECT.0);
+                (host.known, host.out_for) = (true, EJECT.0);
             }
             host.running = entry.lifecycle == Lifecycle::Running;
         }
+        self.names = self.servers.iter().filter(|(_, h)| h.running).map(|(id, _)| id.clone()).collect();
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
     fn observe(&mut self, server: &ServerId, status: Status, spent: f64) {
-        let running = self.servers.values().filter(|h| h.running);
-        let (all, sick) =
-            running.fold((0.0, 0.0), |(a, s), h| (a + 1.0, s + f64::from(u8::from(self.now < h.out_until))));
-        let crowded = sick >= all * EJECT_MOST;
+        let sick = self.names.iter().filter(|id| self.now < self.servers[*id].out_until).count() as f64;
+        let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
         let aim = self.aim();
         let Some(host) = self.servers.get_mut(server) else { return };
-        let beside = host.inflight;
+        let beside = self.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
+        self.inflight = (self.inflight - 1.0).max(0.0);
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
                 if host.gone {
                     // It was unreachable and answers again: it may have restarted untold, so suspect it cold.
-                    (host.cold_since, host.limit, host.gone) = (self.now, 1.0, false);
+                    (host.cold_since, host.gone) = (self.now, false);
                 }
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
-            Status::Full => host.beside *= 1.0 - LATENCY_GAIN, // Its bound shrinks with the next answer.
+            Status::Full => self.beside *= 1.0 - LATENCY_GAIN, // The bound shrinks with it.
             Status::ConnectFailed => (host.failures, host.gone) = (EJECT_AFTER, true),
             Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
@@ -354,10 +374,30 @@
             return;
         }
         let mean = |old: f64, new: f64| if old == 0.0 { new } else { old + LATENCY_GAIN * (new - old) };
-        (host.latency, self.latency) = (mean(host.latency, spent), mean(self.latency, spent));
-        host.beside = mean(host.beside, beside);
-        // Little's law: what may be out for answers to take the wanted share of the aim, whoever loads it.
-        host.limit = (host.beside * PRESSED_AIM * aim / host.latency.max(1e-3)).max(LEAST_LIMIT);
+        // Old news counts less: a gateway of many hears of a server rarely, and it has changed since.
+        let fresh = (1.0 - LATENCY_GAIN) * (-(self.now - host.heard) / NEWS_MEMORY).exp();
+        host.latency = spent + (host.latency - spent) * fresh;
+        host.heard = self.now;
+        self.latency = mean(self.latency, spent);
+        let step = if spent > self.typical { 1.0 + TYPICAL_STEP } else { 1.0 / (1.0 + TYPICAL_STEP) };
+        self.typical = if self.typical == 0.0 { PRESSED_AIM * aim } else { self.typical * step };
+        self.beside = mean(self.beside, beside);
+    }
+
+    /// Attempts this gateway may have out. Little's law: what keeps answers within the wanted share of the
+    /// aim, whoever loads the servers, and room for chance while they do.
+    fn limit(&self) -> f64 {
+        if self.beside == 0.0 {
+            return (FIRST_LIMIT * self.names.len() as f64 / f64::from(self.set.gateways)).max(1.0);
+        }
+        let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
+        let mean = self.beside * ease;
+        mean + ease.min(1.0).powi(2) * (1.0 + SWING * mean.sqrt())
+    }
+
+    /// A limit's fraction lets in by chance, so that many gateways of little load keep it together.
+    fn room(&mut self, share: f64) -> bool {
+        self.inflight + self.draw() <= self.limit() * share
     }
 
     /// The share of its capacity that a server can be trusted to have.
@@ -370,7 +410,7 @@
     /// Rule 4: a cold server's budget from what servers carry on average; as every gateway does the same,
     /// they stay under the multiple together. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
-        let usable = self.servers.values().filter(|h| h.running).count().max(1);
+        let usable = self.names.len().max(1);
         let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
@@ -385,31 +425,25 @@
     }
 
     /// The server that should answer first, among those this job may go to; `None`: all are full.
-    fn choose(&mut self, job: &Job, share: f64) -> Option<ServerId> {
+    fn choose(&mut self, job: &Job) -> Option<ServerId> {
         let anchor = self.anchor(job)?;
-        let up = self.servers.values().filter(|h| h.running && self.now >= h.out_until);
-        let (bound, busy) = up.fold((0.0, 0.0), |(b, n), h| (b + h.limit, n + h.inflight));
-        if busy >= (bound * share).max(1.0) {
-            return None;
-        }
-        let ids: Vec<ServerId> = self.servers.keys().cloned().collect();
         let mut best: Option<(f64, ServerId)> = None;
-        for id in ids {
+        for _ in 0..CHOICES.min(2 * self.names.len()) {
+            let pick = (self.draw() * self.names.len() as f64) as usize;
+            let id = self.names[pick.min(self.names.len() - 1)].clone();
             let host = &self.servers[&id];
             let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
                 Group::All => true,
                 Group::Zone => host.zone == zone,
                 Group::Cell => host.cell == cell && host.zone == zone,
             });
-            let tried = job.attempts.iter().any(|a| a.server == id);
-            let full = host.inflight >= (host.limit * share).max(1.0);
-            if !host.running || self.now < host.out_until || !in_group || tried || full {
+            if self.now < host.out_until || !in_group || job.attempts.iter().any(|a| a.server == id) {
                 continue;
             }
-            self.seed = hash(&[&self.seed.to_le_bytes()]);
             // Noise in a mean must not steer: only a server clearly slower than the fleet is sent less.
-            let slow = (host.latency / self.latency.max(1e-3) * OUTLIER).max(1.0);
-            let score = (1.0 + host.inflight) * slow / self.warmth(host) + (self.seed % 1024) as f64 / 1024.0;
+            let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
+            let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
+            let score = (1.0 + host.inflight) * slow / self.warmth(host);
             if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
                 best = Some((score, id));
             }
@@ -474,10 +508,7 @@
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
-        let job = self.jobs.remove(&id).expect("asked for a held job");
-        let room = self.choose(&job, 1.0).is_some();
-        self.jobs.insert(id.clone(), job);
-        if !room {
+        if !self.room(1.0) {
             return self.end(&id, self.set.max_retry_after);
         }
         if plan.rate <= 0.0 {
@@ -782,23 +813,24 @@
 
     fn send_first(&mut self, id: JobId) {
         self.further = (self.further + FURTHER.0).min(FURTHER.1);
-        if !self.send(&id, 1.0) {
+        if !self.send(&id) {
             self.release_slot(&id);
             self.end(&id, self.set.max_retry_after);
         }
     }
 
     /// Begins an attempt where the rules and a server's bound allow one.
-    fn send(&mut self, id: &JobId, share: f64) -> bool {
+    fn send(&mut self, id: &JobId) -> bool {
         let Some(mut job) = self.jobs.remove(id) else { return false };
         let class = self.set.classes[job.request.class].clone();
         let useful = if class.late_worth > 0.0 { f64::INFINITY } else { job.arrived + class.aim };
         let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
         let tries = job.attempts.len() < self.set.max_attempts as usize;
-        let server = if tries && timeout > 0.0 && !job.over { self.choose(&job, share) } else { None };
+        let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
         if let Some(server) = &server {
             let host = self.servers.get_mut(server).expect("chosen from the list");
             host.inflight += 1.0;
+            self.inflight += 1.0;
             host.cold.level -= job.request.units.max(1.0);
             if let Some(customer) = self.customers.get_mut(&job.request.customer) {
                 customer.open += 1;
@@ -835,7 +867,7 @@
                 self.over(id)
             };
         }
-        if self.further >= 1.0 && status != Status::Timeout && self.send(id, 1.0) {
+        if self.further >= 1.0 && status != Status::Timeout && self.room(1.0) && self.send(id) {
             self.further -= 1.0;
             return;
         }
@@ -844,7 +876,7 @@
 
     fn hedge(&mut self, id: &JobId) {
         let waits = self.jobs.get(id).is_some_and(|j| !j.over && !j.streaming && j.out() == 1);
-        if waits && self.further >= 1.0 && self.send(id, HEDGE_ROOM) {
+        if waits && self.further >= 1.0 && self.room(HEDGE_ROOM) && self.send(id) {
             self.further -= 1.0;
         }
     }
