--- a/src/logic.rs
+++ b/src/logic.rs
@@ -392,7 +392,7 @@
         }
         let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = self.beside * ease;
-        mean + ease.min(1.0).powi(2) * (1.0 + SWING * mean.sqrt())
+        mean + (1.0 - 1.0 / ease).max(0.0) * (1.0 + SWING * mean.sqrt())
     }
 
     /// A limit's fraction lets in by chance, so that many gateways of little load keep it together.
