--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,8 +56,6 @@
 const LATENCY_GAIN: f64 = 0.15;
 /// Seconds after which what was heard of a server counts for little.
 const NEWS_MEMORY: f64 = 8.0;
-/// Step of the middle answer's time: up when an answer took longer, else down.
-const TYPICAL_STEP: f64 = 0.12;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
 /// Servers drawn at random for each choice (power of d choices).
@@ -347,7 +345,6 @@
     fn observe(&mut self, server: &ServerId, status: Status, spent: f64) {
         let sick = self.names.iter().filter(|id| self.now < self.servers[*id].out_until).count() as f64;
         let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
-        let aim = self.aim();
         let Some(host) = self.servers.get_mut(server) else { return };
         let beside = self.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
@@ -379,8 +376,8 @@
         host.latency = spent + (host.latency - spent) * fresh;
         host.heard = self.now;
         self.latency = mean(self.latency, spent);
-        let step = if spent > self.typical { 1.0 + TYPICAL_STEP } else { 1.0 / (1.0 + TYPICAL_STEP) };
-        self.typical = if self.typical == 0.0 { PRESSED_AIM * aim } else { self.typical * step };
+        let typical = if self.typical == 0.0 { spent } else { self.typical };
+        self.typical = typical * (spent.max(1e-3) / typical).powf(LATENCY_GAIN);
         self.beside = mean(self.beside, beside);
     }
 
