--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,7 @@
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
 /// Servers drawn at random for each choice (power of d choices).
-const CHOICES: usize = 8;
+const CHOICES: usize = 16;
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds a server is first and at most put out for.
@@ -425,9 +425,9 @@
     fn choose(&mut self, job: &Job) -> Option<ServerId> {
         let anchor = self.anchor(job)?;
         let mut best: Option<(f64, ServerId)> = None;
-        for _ in 0..CHOICES.min(2 * self.names.len()) {
-            let pick = (self.draw() * self.names.len() as f64) as usize;
-            let id = self.names[pick.min(self.names.len() - 1)].clone();
+        let (count, start) = (self.names.len(), (self.draw() * self.names.len() as f64) as usize);
+        for i in 0..CHOICES.min(count) {
+            let id = self.names[(start + i) % count].clone();
             let host = &self.servers[&id];
             let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
                 Group::All => true,
