--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,7 +35,7 @@
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
-const PRESSED_AIM: f64 = 0.2;
+const PRESSED_AIM: f64 = 0.1;
 /// Share of the aim that answers may take for servers to count as idle.
 const EXCESS_AIM: f64 = 0.14;
 /// Share of the aim after which a second copy may go out.
@@ -66,8 +66,8 @@
 const EJECT: (f64, f64) = (1.0, 8.0);
 /// Share of the servers that may be put out at once: more failing together is no server's own fault.
 const EJECT_MOST: f64 = 0.5;
-/// Attempts a server, over all gateways, that a gateway starts with before it has learned more.
-const FIRST_LIMIT: f64 = 4.0;
+/// Attempts a server, over all gateways, that the bound on what is out rests on: to keep its cores in work.
+const LEAST_OUT: f64 = 3.0;
 /// Deviations over the mean that what is out may swing while answers come fast: few requests come by chance.
 const SWING: f64 = 2.0;
 /// Seconds after which an idle customer is forgotten; longer than any window.
@@ -384,11 +384,9 @@
     /// Attempts this gateway may have out. Little's law: what keeps answers within the wanted share of the
     /// aim, whoever loads the servers, and room for chance while they do.
     fn limit(&self) -> f64 {
-        if self.beside == 0.0 {
-            return (FIRST_LIMIT * self.names.len() as f64 / f64::from(self.set.gateways)).max(1.0);
-        }
+        let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
         let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
-        let mean = self.beside * ease;
+        let mean = (self.beside + least) * ease;
         mean + (1.0 - 1.0 / ease).max(0.0) * (1.0 + SWING * mean.sqrt())
     }
 
