--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,11 +27,14 @@
 /// Windows that count open attempts, in aims: far over an answer's time, as a turn forgets what is out.
 const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
-const HOLD_SHARE: f64 = 0.3;
-/// Counter calls that may be out: at least, at most and at the start; the counter's speed moves it.
-const CALLS_OUT: (f64, f64, f64) = (1.0, 64.0, 16.0);
-/// Time limits between trial calls while the counter is quiet.
-const QUIET_LIMITS: f64 = 4.0;
+const HOLD_SHARE: f64 = 0.4;
+/// Calls a second to the counter: at least (trials while it is quiet), and at the start over all gateways.
+const CALLS: (f64, f64) = (1.0, 600.0);
+/// Calls that may be saved up, at least, and in seconds of the rate.
+const CALLS_SAVED: (f64, f64) = (2.0, 0.1);
+/// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
+/// last too much by the second), down by the third when one is slow and the fourth when one is lost.
+const CALLS_STEP: (f64, f64, f64, f64) = (0.1, 1.3, 0.7, 0.5);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
@@ -206,10 +209,10 @@
     calls: BTreeMap<u64, VecDeque<Call>>,
     due: BTreeMap<u64, Due>,
     next_token: u64,
-    calls_out: f64,
-    calls_limit: f64,
+    tokens: Store,
+    call_rate: f64,
+    crowded_rate: f64,
     misses: u32,
-    quiet_until: Time,
     sent_units: Store,
     carried: Store,
     latency: f64,
@@ -265,7 +268,8 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
         let rng = Some(fastrand::Rng::with_seed(seed));
-        Ok(Self { set: settings, rng, calls_limit: CALLS_OUT.2, further: FURTHER.1, ..Self::default() })
+        let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
+        Ok(Self { set: settings, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
     /// Takes one event at `self.now` and appends what is to be done, in order.
@@ -287,8 +291,10 @@
         actions.append(&mut self.out);
     }
 
-    fn usable(&self) -> bool {
-        self.set.has_counter && self.calls_out < self.calls_limit && self.now >= self.quiet_until
+    /// The counter may be called: a token bucket, whose rate the counter's speed moves, has a call.
+    fn usable(&mut self) -> bool {
+        let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.call_rate);
+        self.tokens.refill(self.now, self.call_rate, saved) >= 1.0 && self.set.has_counter
     }
 
     /// A number from 0 to 1, from the seed.
@@ -658,24 +664,27 @@
         let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes(), kind]);
         let call = Call { customer: key.clone(), window, step, why };
         self.calls.entry(counter).or_default().push_back(call);
-        self.calls_out += 1.0;
+        self.tokens.level -= 1.0;
         let length = if kind.is_empty() { window_length(plan) } else { SLOT_AIMS * self.aim() };
         self.out.push(Action::Count { counter, amount: step, ttl: (2.2 * length).min(60.0) });
     }
 
-    /// The counter's speed bounds how many calls may be out; when it is silent, only trial calls go.
+    /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
+    /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
     fn pace_calls(&mut self, status: Status, spent: f64) {
-        let (low, high, _) = CALLS_OUT;
-        self.calls_out -= 1.0;
         let quick = status == Status::Ok && spent < self.hold();
-        self.calls_limit *= if status == Status::Ok { 0.8 } else { 0.5 };
-        if quick {
-            self.calls_limit = (self.calls_limit / 0.8 + 1.0 / self.calls_limit).min(high);
+        let (root, below, slow, lost) = CALLS_STEP;
+        if !quick {
+            if self.misses == 0 {
+                self.crowded_rate = self.call_rate * slow;
+            }
+            self.call_rate *= if status == Status::Ok { slow } else { lost };
+        } else if self.tokens.level < 1.0 {
+            let near = self.call_rate + root * self.call_rate.sqrt();
+            self.call_rate = if self.call_rate < self.crowded_rate { self.call_rate * below } else { near };
         }
-        self.calls_limit = self.calls_limit.max(low);
+        self.call_rate = self.call_rate.max(CALLS.0);
         self.misses = if status == Status::Ok { 0 } else { self.misses + 1 };
-        let quiet = if self.misses >= 2 { QUIET_LIMITS * self.set.count_limit } else { 0.0 };
-        self.quiet_until = self.now + quiet;
     }
 
     fn counted(&mut self, name: u64, status: Status, total: f64, spent: f64) {
