--- a/src/logic.rs
+++ b/src/logic.rs
@@ -212,6 +212,7 @@
     tokens: Store,
     call_rate: f64,
     crowded_rate: f64,
+    slowed: Time,
     misses: u32,
     sent_units: Store,
     carried: Store,
@@ -674,12 +675,14 @@
     fn pace_calls(&mut self, status: Status, spent: f64) {
         let quick = status == Status::Ok && spent < self.hold();
         let (root, below, slow, lost) = CALLS_STEP;
-        if !quick {
+        if !quick && self.now - spent >= self.slowed {
+            // Once for all that was out at that moment: they met the same line.
+            self.slowed = self.now;
             if self.misses == 0 {
                 self.crowded_rate = self.call_rate * slow;
             }
             self.call_rate *= if status == Status::Ok { slow } else { lost };
-        } else if self.tokens.level < 1.0 {
+        } else if quick && self.tokens.level < 1.0 {
             let near = self.call_rate + root * self.call_rate.sqrt();
             self.call_rate = if self.call_rate < self.crowded_rate { self.call_rate * below } else { near };
         }
