--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -155,6 +155,7 @@
     s.must_ask = keys.text("Discovery") == "ask";
     s.has_counter = domain.flag("HasCounter");
     s.count_limit = domain.num("CountLimit", s.count_limit)?;
+    s.max_units = domain.num("MaxUnits", s.max_units)?;
     s.post_paid = domain.flag("PostPaid");
     s.may_probe = limits.flag("MayProbe");
     s.may_cancel = limits.flag("Cancelling");
@@ -193,6 +194,7 @@
             Event::Request(Request {
                 job: row.text(0, "Job")?.into(),
                 units: row.num_or(1, "Weight", 1.0)?,
+                first: row.num_or(2, "FromNo", 0.0)? as u32,
                 expires: row.num(3, "Expires")?,
                 plan: row.num_or(4, "GradeOfService", 0.0)? as usize,
                 spread: row.num_or(5, "NEntries", 1.0)? as u32,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,6 +98,8 @@
     pub has_counter: bool,
     /// A counter call is given up after this many seconds.
     pub count_limit: f64,
+    /// Most units that one request takes.
+    pub max_units: f64,
     /// True units come with the answer; a request's own are a guess.
     pub post_paid: bool,
     /// Probes are allowed.
@@ -138,6 +140,7 @@
             plans: Vec::new(),
             has_counter: false,
             count_limit: 0.05,
+            max_units: 1.0,
             post_paid: false,
             may_probe: false,
             may_cancel: false,
@@ -263,6 +266,8 @@
     pub plan: usize,
     /// How many gateways carry this customer's requests.
     pub spread: u32,
+    /// The number of the first of them; the rest follow in order, and 0 comes after the last.
+    pub first: u32,
     /// Index of its class.
     pub class: usize,
     /// Its customer.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -134,6 +134,8 @@
 struct Customer {
     plan: usize,
     spread: u32,
+    /// This gateway's place among those that carry the customer.
+    turn: u32,
     lease: f64,
     /// Units spent off the count; the next ask adds them.
     owed: f64,
@@ -503,12 +505,12 @@
         let request = self.jobs[&id].request.clone();
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
-        // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
-        let first = (plan.burst / f64::from(spread)).max(request.units);
-        let share = Store { level: if plan.ceiling_rate > 0.0 { 0.0 } else { first }, at: self.now };
-        let unseen = || Customer { share, ..Customer::default() };
+        // Rule 5: a restarted gateway does not know what it spent under a ceiling; else its last turn holds.
+        let level = if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
+        let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
+        customer.turn = (self.set.me + self.set.gateways - request.first % self.set.gateways) % self.set.gateways;
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
         if !self.room(1.0) {
             return self.end(&id, self.set.max_retry_after);
@@ -539,7 +541,7 @@
             }
         }
         if customer.asking.is_none() && usable {
-            let unseen = customer.level.is_none();
+            let unseen = customer.level.is_none() && plan.burst >= f64::from(customer.spread) * units;
             customer.held.push_back(id.clone());
             self.ask(&key, plan);
             if unseen && self.share_covers(&key, plan, units) {
@@ -551,19 +553,27 @@
         self.fall_back(id, plan);
     }
 
-    /// Safe mode: an even share of rate and burst; under a ceiling of what stands between it and the quota,
-    /// as the count may have granted the whole quota already (rule 5).
+    /// Safe mode: an even share of rate and burst, dealt in whole requests: each falls due to the next of the
+    /// customer's gateways in turn and holds for burst over rate, so all shares together stay rate and burst,
+    /// even where one holds less than a request. Under a ceiling it is a share of what stands between ceiling
+    /// and quota, as the count may have granted the whole quota already (rule 5).
     fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
+        let most = self.set.max_units.max(1.0);
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
         if plan.ceiling_rate > 0.0 {
-            rate = rate.min(CEILING_SHARE * (plan.ceiling_rate - plan.rate)).max(0.0);
+            rate = rate.min(CEILING_SHARE * (plan.ceiling_rate - plan.rate)).max(1e-9);
             burst = burst.min(CEILING_SHARE * (plan.ceiling_burst - plan.burst)).max(0.0);
         }
-        let spread = f64::from(customer.spread);
-        // A share under one request would never serve: it may hold one, except under a ceiling.
-        let least = if plan.ceiling_rate > 0.0 { 0.0 } else { units };
-        customer.share.refill(self.now, rate / spread, (burst / spread).max(least)) >= units
+        let (spread, deal) = (f64::from(customer.spread), most / rate);
+        if plan.ceiling_rate == 0.0 {
+            return customer.share.refill(self.now, rate / spread, (burst / spread).max(units)) >= units;
+        }
+        let phase = f64::from(customer.turn % customer.spread) + (hash(&[key.as_bytes()]) % 1024) as f64 / 1024.0;
+        let dealt = |at: Time| ((at / deal - phase) / spread).floor() * most;
+        let (new, valid) = (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
+        customer.share = Store { level: (customer.share.level + new).min(valid), at: self.now };
+        customer.share.level >= units
     }
 
     /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
