--- a/src/logic.rs
+++ b/src/logic.rs
@@ -28,6 +28,8 @@
 const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
 const HOLD_SHARE: f64 = 0.4;
+/// Share of the counter's time limit past which an answer shows a crowded counter.
+const CROWDED_SHARE: f64 = 0.6;
 /// Calls a second to the counter: at least (trials while it is quiet), and at the start over all gateways.
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
@@ -683,7 +685,7 @@
     /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
     /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
     fn pace_calls(&mut self, status: Status, spent: f64) {
-        let quick = status == Status::Ok && spent < self.hold();
+        let quick = status == Status::Ok && spent < CROWDED_SHARE * self.set.count_limit;
         let (root, below, slow, lost) = CALLS_STEP;
         if !quick && self.now - spent >= self.slowed {
             // Once for all that was out at that moment: they met the same line.
