--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,8 @@
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
 const CALLS_SAVED: (f64, f64) = (2.0, 0.1);
+/// Weight of a new request in the mean worth at stake.
+const STAKE_GAIN: f64 = 0.05;
 /// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
 /// last too much by the second), down by the third when one is slow and the fourth when one is lost.
 const CALLS_STEP: (f64, f64, f64, f64) = (0.1, 1.3, 0.7, 0.5);
@@ -215,6 +217,8 @@
     next_token: u64,
     tokens: Store,
     call_rate: f64,
+    /// Mean worth of what wants a call.
+    stake: f64,
     crowded_rate: f64,
     slowed: Time,
     misses: u32,
@@ -307,6 +311,12 @@
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
     }
 
+    /// Tokens that a call for this worth must find: crowded calls go to the largest worth at stake.
+    fn price_of_call(&mut self, worth: f64) -> f64 {
+        self.stake += STAKE_GAIN * (worth - self.stake);
+        (self.stake / worth.max(1e-9)).clamp(1.0, CALLS_SAVED.0)
+    }
+
     fn aim(&self) -> f64 {
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
@@ -526,7 +536,7 @@
     /// The ordinary path: lease, else block, else refusal; the safe share while the counter is quiet.
     fn cover(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        let usable = self.usable();
+        let usable = self.usable() && self.tokens.level >= self.price_of_call(units * plan.pays);
         let customer = self.customers.get_mut(&key).expect("admitted customers are known");
         if customer.lease >= units {
             return self.spend(id, units, false);
