--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const STAKE_GAIN: f64 = 0.05;
 /// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
 /// last too much by the second), down by the third when one is slow and the fourth when one is lost.
-const CALLS_STEP: (f64, f64, f64, f64) = (0.1, 1.3, 0.7, 0.5);
+const CALLS_STEP: (f64, f64, f64, f64) = (0.25, 1.4, 0.8, 0.6);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
