--- a/src/logic.rs
+++ b/src/logic.rs
@@ -607,7 +607,8 @@
         if self.share_covers(&key, plan, units) {
             self.spend(id, units, true);
         } else {
-            self.end(&id, units * f64::from(self.customers[&key].spread) / plan.rate);
+            let wait = units * f64::from(self.customers[&key].spread) / plan.rate;
+            self.beyond(id, wait, plan);
         }
     }
 
