--- a/src/logic.rs
+++ b/src/logic.rs
@@ -629,7 +629,7 @@
             return self.send_first(id);
         }
         self.jobs.get_mut(&id).expect("spending jobs are held").slot = Slot::Asked;
-        if self.usable() {
+        if self.usable() && self.tokens.level >= 2.0 {
             let window = (self.now / (SLOT_AIMS * self.aim())).max(0.0) as u64;
             self.call(&key, window, 1.0, Why::Slot(id.clone()), &plan);
             self.set_timer(self.now + self.hold(), Due::Slot(id));
