--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,6 +61,8 @@
 const PEAK_MEMORY: f64 = 20.0;
 /// Weight of a new latency in a mean.
 const LATENCY_GAIN: f64 = 0.15;
+/// Share of attempts without an answer in time from which they count as slow answers, not as lost ones.
+const LOST_MOST: f64 = 0.5;
 /// Seconds after which what was heard of a server counts for little.
 const NEWS_MEMORY: f64 = 8.0;
 /// Most that the bound may be above what was out of late.
@@ -227,6 +229,8 @@
     latency: f64,
     /// The middle answer's time: lost answers and sick servers do not move it, a slow fleet does.
     typical: f64,
+    /// Share of the attempts of late that had no answer in time.
+    lost: f64,
     inflight: f64,
     beside: f64,
     further: f64,
@@ -397,8 +401,12 @@
         host.latency = spent + (host.latency - spent) * fresh;
         host.heard = self.now;
         self.latency = mean(self.latency, spent);
-        let typical = if self.typical == 0.0 { spent } else { self.typical };
-        self.typical = typical * (spent.max(1e-3) / typical).powf(LATENCY_GAIN);
+        // Answers lost on the way are no overload, in which most answers are late and those that come are slow.
+        self.lost += LATENCY_GAIN * (f64::from(u8::from(status == Status::Timeout)) - self.lost);
+        if status == Status::Ok || self.lost > LOST_MOST {
+            let typical = if self.typical == 0.0 { spent } else { self.typical };
+            self.typical = typical * (spent.max(1e-3) / typical).powf(LATENCY_GAIN);
+        }
         self.beside = mean(self.beside, beside);
     }
 
