--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,7 +33,7 @@
 /// Calls a second to the counter: at least (trials while it is quiet), and at the start over all gateways.
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
-const CALLS_SAVED: (f64, f64) = (2.0, 0.1);
+const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
 /// Weight of a new request in the mean worth at stake.
 const STAKE_GAIN: f64 = 0.05;
 /// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
@@ -307,7 +307,7 @@
     /// The counter may be called: a token bucket, whose rate the counter's speed moves, has a call.
     fn usable(&mut self) -> bool {
         let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.call_rate);
-        self.tokens.refill(self.now, self.call_rate, saved) >= 1.0 && self.set.has_counter
+        self.tokens.refill(self.now, self.call_rate, saved) > 0.0 && self.set.has_counter
     }
 
     /// A number from 0 to 1, from the seed.
@@ -318,7 +318,7 @@
     /// Tokens that a call for this worth must find: crowded calls go to the largest worth at stake.
     fn price_of_call(&mut self, worth: f64) -> f64 {
         self.stake += STAKE_GAIN * (worth - self.stake);
-        (self.stake / worth.max(1e-9)).clamp(1.0, CALLS_SAVED.0)
+        (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0)
     }
 
     fn aim(&self) -> f64 {
