--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
 /// Weight of a new request in the mean worth at stake.
 const STAKE_GAIN: f64 = 0.05;
+/// Seconds over which units sent off the count are compared with units asked for.
+const FLOW_MEMORY: f64 = 10.0;
 /// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
 /// last too much by the second), down by the third when one is slow and the fourth when one is lost.
 const CALLS_STEP: (f64, f64, f64, f64) = (0.25, 1.4, 0.8, 0.6);
@@ -221,6 +223,8 @@
     call_rate: f64,
     /// Mean worth of what wants a call.
     stake: f64,
+    /// By plan, units sent off the count for thin shares, and units asked for.
+    flows: Vec<(Store, Store)>,
     crowded_rate: f64,
     slowed: Time,
     misses: u32,
@@ -282,7 +286,8 @@
         check(&settings)?;
         let rng = Some(fastrand::Rng::with_seed(seed));
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
-        Ok(Self { set: settings, rng, call_rate, further: FURTHER.1, ..Self::default() })
+        let flows = vec![Default::default(); settings.plans.len()];
+        Ok(Self { set: settings, flows, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
     /// Takes one event at `self.now` and appends what is to be done, in order.
@@ -624,7 +629,9 @@
         let key = self.jobs[&id].request.customer.clone();
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
-        if off_count {
+        if off_count && plan.burst < f64::from(customer.spread) * units {
+            note_demand(&mut self.flows[customer.plan].0, self.now, units, FLOW_MEMORY);
+        } else if off_count {
             // No more than a share's burst: the rest was paid by the refill of the time it was spent in.
             let most = (plan.burst / f64::from(customer.spread)).max(units);
             customer.owed = (customer.owed + units).min(most);
@@ -682,9 +689,14 @@
         }
         // Whole units beyond the need only: a unit stranded at each gateway is most of a small burst.
         let want = ((need - customer.lease).ceil() + spare.floor()).max(0.0);
-        let owed = customer.owed;
-        customer.window = window;
-        customer.late = false;
+        // A gateway of many rarely asks twice for a customer: each ask of a thin share adds for what was sent
+        // off the count, in proportion, so that the sum over all gateways is right.
+        let (off, asked) = &mut self.flows[customer.plan];
+        note_demand(asked, self.now, need, FLOW_MEMORY);
+        note_demand(off, self.now, 0.0, FLOW_MEMORY);
+        let thin = plan.burst < f64::from(customer.spread) * need;
+        let owed = customer.owed + if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
+        (customer.owed, customer.window, customer.late) = (0.0, window, false);
         self.call(key, window, want + owed, Why::Ask { want, owed }, plan);
         let token = self.set_timer(self.now + self.hold(), Due::Hold(key.clone()));
         self.customers.get_mut(key).expect("seen above").asking = Some(token);
@@ -739,11 +751,11 @@
         }
         if status == Status::Ok {
             self.settle(&call, total, &plan);
-        } else if let (Why::Ask { want, owed }, Status::Timeout) = (&call.why, status) {
+        } else if let (Why::Ask { want, .. }, Status::Timeout) = (&call.why, status) {
             // A lost call has mostly added: its block is owed back, or requests served meanwhile pay twice.
             // Only while others answer, as a silent counter adds nothing, and bounded, as it may be wrong.
             let back = if self.misses < 2 { *want } else { 0.0 };
-            customer.owed = (customer.owed - owed - back).max(-plan.burst / f64::from(customer.spread));
+            customer.owed = (customer.owed - back).max(-plan.burst / f64::from(customer.spread));
         }
         if let Why::Ask { .. } = call.why {
             let customer = self.customers.get_mut(&call.customer).expect("seen above");
@@ -790,7 +802,6 @@
             }
             Why::Read => {}
             Why::Ask { want, owed } => {
-                customer.owed -= owed;
                 let shift = (window - call.window.min(window)) as f64 * plan.rate * window_length(plan);
                 let before = limit + shift - prior;
                 let mut left = before.min(plan.burst);
@@ -802,8 +813,10 @@
                 let lapsed = before - left;
                 let granted = want.min((left - owed + 1e-6).floor().max(0.0));
                 customer.lease += granted;
-                customer.level = Some(Store { level: left - owed - granted, at: self.now });
-                let mut correction = granted - want;
+                // What was sent beyond the quota takes nothing from it.
+                let beyond = (owed - left.max(0.0)).max(0.0);
+                customer.level = Some(Store { level: left - owed - granted + beyond, at: self.now });
+                let mut correction = granted - want - beyond;
                 if lapsed > if first { FIRST_SLACK } else { LAPSE_SLACK } * plan.burst {
                     correction += lapsed;
                 }
