--- a/src/logic.rs
+++ b/src/logic.rs
@@ -356,11 +356,13 @@
         }
         let latency = self.latency;
         for entry in servers {
+            // A phase of its own for each gateway: told at one instant, hundreds must not send at one.
+            let phase = self.draw();
             let host = self.servers.entry(entry.id).or_default();
             (host.zone, host.cell) = (entry.zone, entry.cell);
             if !host.known || entry.started > host.cold_since {
                 // A new server or a new life: nothing learned of an old one holds. What is out stays out.
-                let cold = Store { level: 0.0, at: self.now };
+                let cold = Store { level: phase, at: self.now };
                 let (inflight, cold_since) = (host.inflight, entry.started);
                 let Host { zone, cell, .. } = *host;
                 *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
@@ -472,7 +474,7 @@
             // Noise in a mean must not steer: only a server clearly slower than the fleet is sent less.
             let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
             let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
-            let score = (1.0 + host.inflight) * slow / self.warmth(host);
+            let score = (1.0 + host.inflight) * slow;
             if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
                 best = Some((score, id));
             }
