--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,7 +69,8 @@
 const NEWS_MEMORY: f64 = 8.0;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
-/// Servers drawn at random for each choice (power of d choices).
+/// Servers that a gateway keeps to while any of them may be sent to: it hears of few often rather than of all
+/// rarely, and opens few connections.
 const CHOICES: usize = 16;
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
@@ -213,6 +214,8 @@
     rng: Option<fastrand::Rng>,
     /// Running servers, to draw from.
     names: Vec<ServerId>,
+    /// Where in the list, from 0 to 1, this gateway's own servers begin.
+    phase: f64,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
     servers: BTreeMap<ServerId, Host>,
@@ -287,7 +290,8 @@
         let rng = Some(fastrand::Rng::with_seed(seed));
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
-        Ok(Self { set: settings, flows, rng, call_rate, further: FURTHER.1, ..Self::default() })
+        let phase = fastrand::Rng::with_seed(!seed).f64();
+        Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
     /// Takes one event at `self.now` and appends what is to be done, in order.
@@ -459,9 +463,15 @@
     fn choose(&mut self, job: &Job) -> Option<ServerId> {
         let anchor = self.anchor(job)?;
         let mut best: Option<(f64, ServerId)> = None;
-        let (count, start) = (self.names.len(), (self.draw() * self.names.len() as f64) as usize);
-        for i in 0..CHOICES.min(count) {
-            let id = self.names[(start + i) % count].clone();
+        let count = self.names.len();
+        let near = CHOICES.min(count);
+        let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
+        for i in 0..count {
+            if i >= near && best.is_some() {
+                break;
+            }
+            let place = if i < near { (turn + i) % near } else { i };
+            let id = self.names[(start + place) % count].clone();
             let host = &self.servers[&id];
             let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
                 Group::All => true,
