--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,9 +69,9 @@
 const NEWS_MEMORY: f64 = 8.0;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
-/// Servers that a gateway keeps to while any of them may be sent to: it hears of few often rather than of all
-/// rarely, and opens few connections.
-const CHOICES: usize = 16;
+/// Servers that a gateway keeps to while any of them may be sent to: at least, and times the servers a gateway,
+/// so that many gateways meet at each. It hears of few often, not of all rarely, and opens few connections.
+const SUBSET: (usize, usize) = (6, 20);
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds a server is first and at most put out for.
@@ -464,7 +464,7 @@
         let anchor = self.anchor(job)?;
         let mut best: Option<(f64, ServerId)> = None;
         let count = self.names.len();
-        let near = CHOICES.min(count);
+        let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
         let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
         for i in 0..count {
             if i >= near && best.is_some() {
