--- a/src/logic.rs
+++ b/src/logic.rs
@@ -427,7 +427,9 @@
         let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
         let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
-        mean + (1.0 - 1.0 / ease).max(0.0) * (1.0 + SWING * mean.sqrt())
+        // It fades as answers slow down, later where few are out and a mean says little.
+        let fade = (1.0 - 1.0 / ease + 1.0 / (1.0 + mean)).clamp(0.0, 1.0);
+        mean + fade * (1.0 + SWING * mean.sqrt())
     }
 
     /// A limit's fraction lets in by chance, so that many gateways of little load keep it together.
