--- a/src/logic.rs
+++ b/src/logic.rs
@@ -428,7 +428,7 @@
         let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
         // It fades as answers slow down, later where few are out and a mean says little.
-        let fade = (1.0 - 1.0 / ease + 1.0 / (1.0 + mean)).clamp(0.0, 1.0);
+        let fade = (1.0 - 1.0 / ease + (1.0 + mean).powi(-2)).clamp(0.0, 1.0);
         mean + fade * (1.0 + SWING * mean.sqrt())
     }
 
