--- a/src/logic.rs
+++ b/src/logic.rs
@@ -228,7 +228,6 @@
     stake: f64,
     /// By plan, units sent off the count for thin shares, and units asked for.
     flows: Vec<(Store, Store)>,
-    crowded_rate: f64,
     slowed: Time,
     misses: u32,
     sent_units: Store,
@@ -731,17 +730,14 @@
     /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
     fn pace_calls(&mut self, status: Status, spent: f64) {
         let quick = status == Status::Ok && spent < CROWDED_SHARE * self.set.count_limit;
-        let (root, below, slow, lost) = CALLS_STEP;
+        let (root, _, slow, lost) = CALLS_STEP;
         if !quick && self.now - spent >= self.slowed {
             // Once for all that was out at that moment: they met the same line.
             self.slowed = self.now;
-            if self.misses == 0 {
-                self.crowded_rate = self.call_rate * slow;
-            }
             self.call_rate *= if status == Status::Ok { slow } else { lost };
         } else if quick && self.tokens.level < 1.0 {
             let near = self.call_rate + root * self.call_rate.sqrt();
-            self.call_rate = if self.call_rate < self.crowded_rate { self.call_rate * below } else { near };
+            self.call_rate = near;
         }
         self.call_rate = self.call_rate.max(CALLS.0);
         self.misses = if status == Status::Ok { 0 } else { self.misses + 1 };
@@ -765,11 +761,6 @@
         }
         if status == Status::Ok {
             self.settle(&call, total, &plan);
-        } else if let (Why::Ask { want, .. }, Status::Timeout) = (&call.why, status) {
-            // A lost call has mostly added: its block is owed back, or requests served meanwhile pay twice.
-            // Only while others answer, as a silent counter adds nothing, and bounded, as it may be wrong.
-            let back = if self.misses < 2 { *want } else { 0.0 };
-            customer.owed = (customer.owed - back).max(-plan.burst / f64::from(customer.spread));
         }
         if let Why::Ask { .. } = call.why {
             let customer = self.customers.get_mut(&call.customer).expect("seen above");
