--- a/src/logic.rs
+++ b/src/logic.rs
@@ -159,7 +159,6 @@
     held: VecDeque<JobId>,
     open: u32,
     touched: Time,
-    lease_timer: bool,
 }
 
 /// Why a count was called.
@@ -182,7 +181,6 @@
 #[derive(Debug, Clone)]
 enum Due {
     Hold(CustomerId),
-    Lease(CustomerId),
     Hedge(JobId),
     Slot(JobId),
     Sweep,
@@ -564,6 +562,9 @@
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         let usable = self.usable() && self.tokens.level >= self.price_of_call(units * plan.pays);
         let customer = self.customers.get_mut(&key).expect("admitted customers are known");
+        if customer.window != window(plan, &key, self.now).0 {
+            customer.lease = 0.0; // It lapses with its window.
+        }
         if customer.lease >= units {
             return self.spend(id, units, false);
         }
@@ -831,38 +832,8 @@
                 if first && known.is_none() && call.window > 0 {
                     self.call(&call.customer, call.window - 1, 0.0, Why::Read, plan);
                 }
-                self.watch_lease(&call.customer);
-            }
-        }
-    }
-
-    fn watch_lease(&mut self, key: &CustomerId) {
-        let customer = self.customers.get_mut(key).expect("watched for known customers only");
-        if customer.lease > 0.0 && !customer.lease_timer {
-            customer.lease_timer = true;
-            self.set_timer(self.now + REFRESH, Due::Lease(key.clone()));
-        }
-    }
-
-    /// Gives back what demand no longer needs, so that a block does not strand where traffic dried up.
-    fn return_lease(&mut self, key: &CustomerId) {
-        let usable = self.usable();
-        let Some(customer) = self.customers.get_mut(key) else { return };
-        customer.lease_timer = false;
-        let plan = self.set.plans[customer.plan].clone();
-        note_demand(&mut customer.demand, self.now, 0.0, DEMAND_MEMORY);
-        let spare = (customer.lease - customer.demand.level / DEMAND_MEMORY * BLOCK_SPAN).floor();
-        let (current, _) = window(&plan, key, self.now);
-        if spare >= 1.0 && customer.asking.is_none() && usable && customer.window == current {
-            customer.lease -= spare;
-            if let Some(level) = &mut customer.level {
-                level.level += spare;
             }
-            self.call(key, current, -spare, Why::Correct, &plan);
-        } else if customer.window != current {
-            customer.lease = 0.0; // Lapsed with its window.
         }
-        self.watch_lease(key);
     }
 
     // ---- Attempts and the final answer ----
@@ -965,11 +936,10 @@
     fn timer(&mut self, token: u64) {
         match self.due.remove(&token) {
             Some(Due::Hold(key)) => self.stop_holding(&key, token),
-            Some(Due::Lease(key)) => self.return_lease(&key),
             Some(Due::Hedge(id)) => self.hedge(&id),
             Some(Due::Slot(id)) => _ = self.slot_answer(&id, 0, None),
             Some(Due::Sweep) => {
-                let idle = |c: &Customer| c.open == 0 && c.asking.is_none() && !c.lease_timer;
+                let idle = |c: &Customer| c.open == 0 && c.asking.is_none();
                 self.customers.retain(|_, c| self.now - c.touched < FORGET || !idle(c));
                 self.set_timer(self.now + FORGET, Due::Sweep);
             }
