--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,23 +34,16 @@
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
 const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
-/// Weight of a new request in the mean worth at stake.
-const STAKE_GAIN: f64 = 0.05;
-/// Seconds over which units sent off the count are compared with units asked for.
-const FLOW_MEMORY: f64 = 10.0;
-/// How the rate of calls moves: up by this times its root while answers are quick (below the rate that was
-/// last too much by the second), down by the third when one is slow and the fourth when one is lost.
-const CALLS_STEP: (f64, f64, f64, f64) = (0.25, 1.4, 0.8, 0.6);
+/// How the rate of calls moves: up by this times its root with a quick answer, times these with a slow or lost one.
+const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
 const PRESSED_AIM: f64 = 0.1;
-/// Share of the aim that answers may take for servers to count as idle.
-const EXCESS_AIM: f64 = 0.14;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
-/// Share of the bounds that second copies may fill: they are for odd slow servers, not for a slow fleet.
-const HEDGE_ROOM: f64 = 0.5;
+/// Share of the bound that second copies and what is beyond quotas may fill: a slow fleet has no room for them.
+const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
 const FURTHER: (f64, f64) = (0.1, 10.0);
 /// Share of the cold budget that all gateways together plan to use.
@@ -59,10 +52,10 @@
 const OUTLIER: f64 = 0.6;
 /// Seconds over which sends are averaged.
 const RATE_MEMORY: f64 = 3.0;
-/// Seconds over which the most that a server carried is forgotten: about a warm-up.
+/// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
 const PEAK_MEMORY: f64 = 20.0;
-/// Weight of a new latency in a mean.
-const LATENCY_GAIN: f64 = 0.15;
+/// Weight of a new value in a mean.
+const GAIN: f64 = 0.15;
 /// Share of attempts without an answer in time from which they count as slow answers, not as lost ones.
 const LOST_MOST: f64 = 0.5;
 /// Seconds after which what was heard of a server counts for little.
@@ -192,7 +185,6 @@
     cell: u32,
     running: bool,
     cold_since: Time,
-    known: bool,
     inflight: f64,
     latency: f64,
     heard: Time,
@@ -227,7 +219,6 @@
     /// By plan, units sent off the count for thin shares, and units asked for.
     flows: Vec<(Store, Store)>,
     slowed: Time,
-    misses: u32,
     sent_units: Store,
     carried: Store,
     latency: f64,
@@ -284,10 +275,10 @@
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let rng = Some(fastrand::Rng::with_seed(seed));
+        let mut rng = fastrand::Rng::with_seed(seed);
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
-        let phase = fastrand::Rng::with_seed(!seed).f64();
+        let (phase, rng) = (rng.f64(), Some(rng));
         Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
@@ -323,7 +314,7 @@
 
     /// Tokens that a call for this worth must find: crowded calls go to the largest worth at stake.
     fn price_of_call(&mut self, worth: f64) -> f64 {
-        self.stake += STAKE_GAIN * (worth - self.stake);
+        self.stake += GAIN * (worth - self.stake);
         (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0)
     }
 
@@ -357,17 +348,16 @@
         }
         let latency = self.latency;
         for entry in servers {
-            // A phase of its own for each gateway: told at one instant, hundreds must not send at one.
             let phase = self.draw();
             let host = self.servers.entry(entry.id).or_default();
             (host.zone, host.cell) = (entry.zone, entry.cell);
-            if !host.known || entry.started > host.cold_since {
+            if host.out_for == 0.0 || entry.started > host.cold_since {
                 // A new server or a new life: nothing learned of an old one holds. What is out stays out.
                 let cold = Store { level: phase, at: self.now };
                 let (inflight, cold_since) = (host.inflight, entry.started);
                 let Host { zone, cell, .. } = *host;
                 *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
-                (host.known, host.out_for) = (true, EJECT.0);
+                host.out_for = EJECT.0;
             }
             host.running = entry.lifecycle == Lifecycle::Running;
         }
@@ -391,7 +381,7 @@
                 }
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
-            Status::Full => self.beside *= 1.0 - LATENCY_GAIN, // The bound shrinks with it.
+            Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
             Status::ConnectFailed => (host.failures, host.gone) = (EJECT_AFTER, true),
             Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
@@ -403,58 +393,47 @@
         if !matches!(status, Status::Ok | Status::Timeout) {
             return;
         }
-        let mean = |old: f64, new: f64| if old == 0.0 { new } else { old + LATENCY_GAIN * (new - old) };
+        let mean = |old: f64, new: f64| if old == 0.0 { new } else { old + GAIN * (new - old) };
         // Old news counts less: a gateway of many hears of a server rarely, and it has changed since.
-        let fresh = (1.0 - LATENCY_GAIN) * (-(self.now - host.heard) / NEWS_MEMORY).exp();
+        let fresh = (1.0 - GAIN) * (-(self.now - host.heard) / NEWS_MEMORY).exp();
         host.latency = spent + (host.latency - spent) * fresh;
         host.heard = self.now;
         self.latency = mean(self.latency, spent);
         // Answers lost on the way are no overload, in which most answers are late and those that come are slow.
-        self.lost += LATENCY_GAIN * (f64::from(u8::from(status == Status::Timeout)) - self.lost);
+        self.lost += GAIN * (f64::from(u8::from(status == Status::Timeout)) - self.lost);
         if status == Status::Ok || self.lost > LOST_MOST {
             let typical = if self.typical == 0.0 { spent } else { self.typical };
-            self.typical = typical * (spent.max(1e-3) / typical).powf(LATENCY_GAIN);
+            self.typical = typical * (spent.max(1e-3) / typical).powf(GAIN);
         }
         self.beside = mean(self.beside, beside);
     }
 
-    /// Attempts this gateway may have out. Little's law: what keeps answers within the wanted share of the
-    /// aim, whoever loads the servers, and room for chance while they do.
-    fn limit(&self) -> f64 {
+    /// Whether one more attempt may go out. Little's law: as much as keeps answers within the wanted share of
+    /// the aim, whoever loads the servers, and room for chance, which fades as answers slow down, later where
+    /// few are out. A fraction lets in by chance, so that many gateways of little load keep it together.
+    fn room(&mut self, share: f64) -> bool {
         let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
         let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
-        // It fades as answers slow down, later where few are out and a mean says little.
         let fade = (1.0 - 1.0 / ease + (1.0 + mean).powi(-2)).clamp(0.0, 1.0);
-        mean + fade * (1.0 + SWING * mean.sqrt())
-    }
-
-    /// A limit's fraction lets in by chance, so that many gateways of little load keep it together.
-    fn room(&mut self, share: f64) -> bool {
-        self.inflight + self.draw() <= self.limit() * share
+        self.inflight + self.draw() <= share * (mean + fade * (1.0 + SWING * mean.sqrt()))
     }
 
-    /// The share of its capacity that a server can be trusted to have.
-    fn warmth(&self, host: &Host) -> f64 {
-        let (start, cold) = (host.cold_since, self.set.cold);
-        let age = if start > 0.0 && cold > 0.0 { ((self.now - start) / cold).clamp(0.0, 1.0) } else { 1.0 };
-        self.set.cold_from + (1.0 - self.set.cold_from) * age
-    }
-
-    /// Rule 4: a cold server's budget from what servers carry on average; as every gateway does the same,
-    /// they stay under the multiple together. Harms only a fleet that is all cold: its climb is slower.
+    /// Rule 4: a cold server's budget from what servers carry on average and the share of its capacity that it
+    /// surely has; as every gateway does the same, they stay under the multiple together, and each starts at a
+    /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
-        let usable = self.names.len().max(1);
-        let mean = self.sent_units.level / RATE_MEMORY / usable as f64;
+        let mean = self.sent_units.level / RATE_MEMORY / self.names.len().max(1) as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
         self.carried.level = self.carried.level.max(mean);
-        let warmth = self.warmth(&self.servers[id]);
-        if warmth > 0.999 {
+        let host = self.servers.get_mut(id).expect("the caller names a known server");
+        let age = self.now - host.cold_since;
+        if host.cold_since <= 0.0 || age >= self.set.cold {
             return f64::INFINITY;
         }
+        let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0);
         let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * self.carried.level;
-        let host = self.servers.get_mut(id).expect("the caller names a known server");
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
@@ -542,11 +521,13 @@
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         // Rule 5: a restarted gateway does not know what it spent under a ceiling; else its last turn holds.
-        let level = if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
+        let level =
+            if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
         let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
-        customer.turn = (self.set.me + self.set.gateways - request.first % self.set.gateways) % self.set.gateways;
+        customer.turn =
+            (self.set.me + self.set.gateways - request.first % self.set.gateways) % self.set.gateways;
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
         if !self.room(1.0) {
             return self.end(&id, self.set.max_retry_after);
@@ -608,20 +589,23 @@
         if plan.ceiling_rate == 0.0 {
             return customer.share.refill(self.now, rate / spread, (burst / spread).max(units)) >= units;
         }
-        let phase = f64::from(customer.turn % customer.spread) + (hash(&[key.as_bytes()]) % 1024) as f64 / 1024.0;
+        let phase =
+            f64::from(customer.turn % customer.spread) + (hash(&[key.as_bytes()]) % 1024) as f64 / 1024.0;
         let dealt = |at: Time| ((at / deal - phase) / spread).floor() * most;
-        let (new, valid) = (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
+        let (new, valid) =
+            (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
         customer.share = Store { level: (customer.share.level + new).min(valid), at: self.now };
         customer.share.level >= units
     }
 
     /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
-    /// earns more than it costs and answers come fast, it is sent; under a ceiling only within the share.
+    /// earns more than it costs and there is room to spare, it is sent; under a ceiling only within the share.
     fn beyond(&mut self, id: JobId, wait: f64, plan: &Plan) {
         let pays = plan.excess_worth > plan.overrun_cost && plan.open == 0;
-        let idle = self.latency < EXCESS_AIM * self.aim();
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        if !(pays && idle) || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units) {
+        if !(pays && self.room(SPARE_ROOM))
+            || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units)
+        {
             return self.end(&id, wait);
         }
         let share = &mut self.customers.get_mut(&key).expect("judged customers are known").share;
@@ -644,7 +628,7 @@
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         if off_count && plan.burst < f64::from(customer.spread) * units {
-            note_demand(&mut self.flows[customer.plan].0, self.now, units, FLOW_MEMORY);
+            note_demand(&mut self.flows[customer.plan].0, self.now, units, PEAK_MEMORY);
         } else if off_count {
             // No more than a share's burst: the rest was paid by the refill of the time it was spent in.
             let most = (plan.burst / f64::from(customer.spread)).max(units);
@@ -706,8 +690,8 @@
         // A gateway of many rarely asks twice for a customer: each ask of a thin share adds for what was sent
         // off the count, in proportion, so that the sum over all gateways is right.
         let (off, asked) = &mut self.flows[customer.plan];
-        note_demand(asked, self.now, need, FLOW_MEMORY);
-        note_demand(off, self.now, 0.0, FLOW_MEMORY);
+        note_demand(asked, self.now, need, PEAK_MEMORY);
+        note_demand(off, self.now, 0.0, PEAK_MEMORY);
         let thin = plan.burst < f64::from(customer.spread) * need;
         let owed = customer.owed + if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
         (customer.owed, customer.window, customer.late) = (0.0, window, false);
@@ -731,17 +715,14 @@
     /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
     fn pace_calls(&mut self, status: Status, spent: f64) {
         let quick = status == Status::Ok && spent < CROWDED_SHARE * self.set.count_limit;
-        let (root, _, slow, lost) = CALLS_STEP;
+        let (root, slow, lost) = CALLS_STEP;
         if !quick && self.now - spent >= self.slowed {
             // Once for all that was out at that moment: they met the same line.
             self.slowed = self.now;
-            self.call_rate *= if status == Status::Ok { slow } else { lost };
+            self.call_rate = (self.call_rate * if status == Status::Ok { slow } else { lost }).max(CALLS.0);
         } else if quick && self.tokens.level < 1.0 {
-            let near = self.call_rate + root * self.call_rate.sqrt();
-            self.call_rate = near;
+            self.call_rate += root * self.call_rate.sqrt();
         }
-        self.call_rate = self.call_rate.max(CALLS.0);
-        self.misses = if status == Status::Ok { 0 } else { self.misses + 1 };
     }
 
     fn counted(&mut self, name: u64, status: Status, total: f64, spent: f64) {
@@ -903,7 +884,7 @@
 
     fn hedge(&mut self, id: &JobId) {
         let waits = self.jobs.get(id).is_some_and(|j| !j.over && !j.streaming && j.out() == 1);
-        if waits && self.further >= 1.0 && self.room(HEDGE_ROOM) && self.send(id) {
+        if waits && self.further >= 1.0 && self.room(SPARE_ROOM) && self.send(id) {
             self.further -= 1.0;
         }
     }
