--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,10 +20,9 @@
 const DEMAND_MEMORY: f64 = 1.0;
 /// Seconds after which an unspent lease goes back and a known level is asked again: the page's refresh.
 const REFRESH: f64 = 1.0;
-/// Share of the burst by which the count may lag behind what has lapsed before it is put right.
-const LAPSE_SLACK: f64 = 0.5;
-/// The same for the first call in a window, whose level all others start from.
-const FIRST_SLACK: f64 = 0.1;
+/// Share of the burst by which the count may lag behind what has lapsed before it is put right: for the first
+/// call in a window, whose level all others start from, and for later ones.
+const LAPSE_SLACK: (f64, f64) = (0.1, 0.5);
 /// Windows that count open attempts, in aims: far over an answer's time, as a turn forgets what is out.
 const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
@@ -34,7 +33,7 @@
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
 const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
-/// How the rate of calls moves: up by this times its root with a quick answer, times these with a slow or lost one.
+/// How the rate of calls moves: up by this times its root when quick, times these when slow or lost.
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
@@ -42,7 +41,7 @@
 const PRESSED_AIM: f64 = 0.1;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
-/// Share of the bound that second copies and what is beyond quotas may fill: a slow fleet has no room for them.
+/// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
 const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
 const FURTHER: (f64, f64) = (0.1, 10.0);
@@ -62,8 +61,8 @@
 const NEWS_MEMORY: f64 = 8.0;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
-/// Servers that a gateway keeps to while any of them may be sent to: at least, and times the servers a gateway,
-/// so that many gateways meet at each. It hears of few often, not of all rarely, and opens few connections.
+/// Servers that a gateway keeps to while any may be sent to: at least, and times servers over gateways, so
+/// that many meet at each. It hears of few often, not of all rarely, and opens few connections.
 const SUBSET: (usize, usize) = (6, 20);
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
@@ -312,12 +311,6 @@
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
     }
 
-    /// Tokens that a call for this worth must find: crowded calls go to the largest worth at stake.
-    fn price_of_call(&mut self, worth: f64) -> f64 {
-        self.stake += GAIN * (worth - self.stake);
-        (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0)
-    }
-
     fn aim(&self) -> f64 {
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
@@ -399,7 +392,7 @@
         host.latency = spent + (host.latency - spent) * fresh;
         host.heard = self.now;
         self.latency = mean(self.latency, spent);
-        // Answers lost on the way are no overload, in which most answers are late and those that come are slow.
+        // Lost answers are no overload: in that most are late, and those that come are slow.
         self.lost += GAIN * (f64::from(u8::from(status == Status::Timeout)) - self.lost);
         if status == Status::Ok || self.lost > LOST_MOST {
             let typical = if self.typical == 0.0 { spent } else { self.typical };
@@ -419,8 +412,8 @@
         self.inflight + self.draw() <= share * (mean + fade * (1.0 + SWING * mean.sqrt()))
     }
 
-    /// Rule 4: a cold server's budget from what servers carry on average and the share of its capacity that it
-    /// surely has; as every gateway does the same, they stay under the multiple together, and each starts at a
+    /// Rule 4: a cold server has a budget from what servers carry on average and the capacity that it
+    /// surely has; as every gateway does so, they stay under the multiple together, and each starts at a
     /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
         let mean = self.sent_units.level / RATE_MEMORY / self.names.len().max(1) as f64;
@@ -486,15 +479,6 @@
         }
     }
 
-    fn may_refuse(&self, job: &Job) -> bool {
-        let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
-        match self.set.classes.get(job.request.class).map(|c| c.effect) {
-            Some(Effect::Unsafe) => clean,
-            Some(Effect::Keyed { group, .. }) => clean || group == Group::All,
-            _ => true,
-        }
-    }
-
     // ---- Admission ----
 
     fn request(&mut self, request: Request) {
@@ -506,18 +490,16 @@
         let known = (request.class < classes && request.plan < plans)
             && (request.units.is_finite() && request.units >= 0.0)
             && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
-        let (arrived, attempts, slot) = (self.now, Vec::new(), Slot::None);
-        let job = Job { request, arrived, attempts, over: false, streaming: false, slot };
         let full = self.jobs.len() >= self.set.max_open as usize;
-        self.jobs.insert(id.clone(), job);
+        let (arrived, attempts, slot) = (self.now, Vec::new(), Slot::None);
+        let copy = request.clone();
+        self.jobs.insert(
+            id.clone(),
+            Job { request: copy, arrived, attempts, over: false, streaming: false, slot },
+        );
         if !known || full {
             return self.end(&id, 0.0);
         }
-        self.admit(id);
-    }
-
-    fn admit(&mut self, id: JobId) {
-        let request = self.jobs[&id].request.clone();
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         // Rule 5: a restarted gateway does not know what it spent under a ceiling; else its last turn holds.
@@ -541,7 +523,11 @@
     /// The ordinary path: lease, else block, else refusal; the safe share while the counter is quiet.
     fn cover(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        let usable = self.usable() && self.tokens.level >= self.price_of_call(units * plan.pays);
+        // Crowded calls go to the largest worth at stake: a lesser one must find a fuller bucket.
+        let worth = units * plan.pays;
+        self.stake += GAIN * (worth - self.stake);
+        let price = (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0);
+        let usable = self.usable() && self.tokens.level >= price;
         let customer = self.customers.get_mut(&key).expect("admitted customers are known");
         if customer.window != window(plan, &key, self.now).0 {
             customer.lease = 0.0; // It lapses with its window.
@@ -554,10 +540,8 @@
             return;
         }
         if let Some(mut level) = customer.level.filter(|l| self.now - l.at < REFRESH) {
-            let left = level.refill(self.now, plan.rate, plan.burst);
-            if left + customer.lease + 1e-6 < units {
-                let wait = (units - left - customer.lease) / plan.rate;
-                return self.beyond(id, wait, plan);
+            if level.refill(self.now, plan.rate, plan.burst) + customer.lease + 1e-6 < units {
+                return self.beyond(id, plan);
             }
         }
         if customer.asking.is_none() && usable {
@@ -599,14 +583,17 @@
     }
 
     /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
-    /// earns more than it costs and there is room to spare, it is sent; under a ceiling only within the share.
-    fn beyond(&mut self, id: JobId, wait: f64, plan: &Plan) {
+    /// earns more than it costs and there is room to spare, it goes; under a ceiling only within the share.
+    fn beyond(&mut self, id: JobId, plan: &Plan) {
         let pays = plan.excess_worth > plan.overrun_cost && plan.open == 0;
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         if !(pays && self.room(SPARE_ROOM))
             || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units)
         {
-            return self.end(&id, wait);
+            let customer = &self.customers[&key];
+            let left =
+                customer.lease + customer.level.map_or(0.0, |l| l.level + plan.rate * (self.now - l.at));
+            return self.end(&id, (units - left).max(0.0) / plan.rate);
         }
         let share = &mut self.customers.get_mut(&key).expect("judged customers are known").share;
         share.level = (share.level - units).max(0.0);
@@ -618,8 +605,7 @@
         if self.share_covers(&key, plan, units) {
             self.spend(id, units, true);
         } else {
-            let wait = units * f64::from(self.customers[&key].spread) / plan.rate;
-            self.beyond(id, wait, plan);
+            self.beyond(id, plan);
         }
     }
 
@@ -760,8 +746,7 @@
         if customer.lease >= units {
             self.spend(id, units, false);
         } else if answered {
-            let left = customer.level.map_or(0.0, |l| l.level);
-            self.beyond(id, (units - left).max(0.0) / plan.rate, plan);
+            self.beyond(id, plan);
         } else {
             self.fall_back(id, plan);
         }
@@ -783,7 +768,7 @@
                 let turn = plan.burst + plan.rate * window_length(plan) - total;
                 let missing = plan.burst - (turn + plan.rate * age).min(plan.burst);
                 customer.level.iter_mut().for_each(|l| l.level -= missing);
-                if missing > FIRST_SLACK * plan.burst {
+                if missing > LAPSE_SLACK.0 * plan.burst {
                     self.call(&call.customer, window, missing, Why::Correct, plan);
                 }
             }
@@ -804,7 +789,7 @@
                 let beyond = (owed - left.max(0.0)).max(0.0);
                 customer.level = Some(Store { level: left - owed - granted + beyond, at: self.now });
                 let mut correction = granted - want - beyond;
-                if lapsed > if first { FIRST_SLACK } else { LAPSE_SLACK } * plan.burst {
+                if lapsed > if first { LAPSE_SLACK.0 } else { LAPSE_SLACK.1 } * plan.burst {
                     correction += lapsed;
                 }
                 if correction.abs() > 1e-6 {
@@ -892,10 +877,15 @@
     /// Gives the one final answer, refusing where a retry is known to do no harm.
     fn end(&mut self, id: &JobId, retry_after: f64) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
-        if self.may_refuse(job) {
-            let advice =
-                if self.set.retry_after { retry_after.clamp(0.0, self.set.max_retry_after) } else { 0.0 };
-            self.out.push(Action::Refuse { job: id.clone(), retry_after: advice });
+        let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
+        let harmless = match self.set.classes.get(job.request.class).map(|c| c.effect) {
+            Some(Effect::Unsafe) => clean,
+            Some(Effect::Keyed { group, .. }) => clean || group == Group::All,
+            _ => true,
+        };
+        if harmless {
+            let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
+            self.out.push(Action::Refuse { job: id.clone(), retry_after: retry_after.clamp(0.0, most) });
         } else {
             self.out.push(Action::Fail { job: id.clone() });
         }
