--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,8 +23,6 @@
 /// Share of the burst by which the count may lag behind what has lapsed before it is put right: for the first
 /// call in a window, whose level all others start from, and for later ones.
 const LAPSE_SLACK: (f64, f64) = (0.1, 0.5);
-/// Windows that count open attempts, in aims: far over an answer's time, as a turn forgets what is out.
-const SLOT_AIMS: f64 = 8.0;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
 const HOLD_SHARE: f64 = 0.4;
 /// Share of the counter's time limit past which an answer shows a crowded counter.
@@ -92,14 +90,6 @@
     ran: Ran,
 }
 
-/// A place among the attempts that a plan lets be out at once; `Held` names the window it counts in.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Slot {
-    None,
-    Asked,
-    Held(u64),
-}
-
 #[derive(Debug)]
 struct Job {
     request: Request,
@@ -107,7 +97,6 @@
     attempts: Vec<Attempt>,
     over: bool,
     streaming: bool,
-    slot: Slot,
 }
 
 impl Job {
@@ -159,7 +148,6 @@
     Ask { want: f64, owed: f64 },
     Read,
     Correct,
-    Slot(JobId),
 }
 
 #[derive(Debug)]
@@ -174,7 +162,6 @@
 enum Due {
     Hold(CustomerId),
     Hedge(JobId),
-    Slot(JobId),
     Sweep,
 }
 
@@ -491,12 +478,9 @@
             && (request.units.is_finite() && request.units >= 0.0)
             && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize;
-        let (arrived, attempts, slot) = (self.now, Vec::new(), Slot::None);
+        let (arrived, attempts) = (self.now, Vec::new());
         let copy = request.clone();
-        self.jobs.insert(
-            id.clone(),
-            Job { request: copy, arrived, attempts, over: false, streaming: false, slot },
-        );
+        self.jobs.insert(id.clone(), Job { request: copy, arrived, attempts, over: false, streaming: false });
         if !known || full {
             return self.end(&id, 0.0);
         }
@@ -624,42 +608,14 @@
         }
         let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
         customer.share.level = (customer.share.level - drawn).max(0.0);
-        if plan.open == 0 {
-            return self.send_first(id);
-        }
-        self.jobs.get_mut(&id).expect("spending jobs are held").slot = Slot::Asked;
-        if self.usable() && self.tokens.level >= 2.0 {
-            let window = (self.now / (SLOT_AIMS * self.aim())).max(0.0) as u64;
-            self.call(&key, window, 1.0, Why::Slot(id.clone()), &plan);
-            self.set_timer(self.now + self.hold(), Due::Slot(id));
-        } else {
-            self.slot_answer(&id, 0, None);
-        }
-    }
-
-    /// An open cap: the count of what is out at all gateways decides; with no answer (`None`) an even share
-    /// of the cap, one at least. Tells whether the slot is kept; one that came late goes back.
-    fn slot_answer(&mut self, id: &JobId, window: u64, fits: Option<bool>) -> bool {
-        let asked = |j: &&mut Job| !j.over && j.slot == Slot::Asked;
-        let Some(job) = self.jobs.get_mut(id).filter(asked) else { return false };
-        let customer = self.customers.get_mut(&job.request.customer).expect("asking customers are known");
-        let share = (self.set.plans[customer.plan].open / customer.spread).max(1);
-        job.slot = if fits == Some(true) { Slot::Held(window) } else { Slot::None };
-        if fits.unwrap_or(customer.open < share) {
-            self.send_first(id.clone());
+        // An open cap: each gateway holds an even share of it, one at least.
+        let share = (plan.open / customer.spread).max(1);
+        if plan.open == 0 || customer.open < share {
+            self.send_first(id);
         } else {
-            customer.lease += job.request.units; // Not sent, so not spent; without a rate it is never read.
-            self.end(id, self.latency);
+            customer.lease += units; // Not sent, so not spent.
+            self.end(&id, self.latency);
         }
-        fits == Some(true)
-    }
-
-    fn release_slot(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id).filter(|j| j.out() == 0) else { return };
-        let Slot::Held(window) = job.slot else { return };
-        job.slot = Slot::None;
-        let (key, plan) = (job.request.customer.clone(), self.set.plans[job.request.plan].clone());
-        self.call(&key, window, -1.0, Why::Slot(id.clone()), &plan);
     }
 
     fn ask(&mut self, key: &CustomerId, plan: &Plan) {
@@ -688,13 +644,11 @@
 
     fn call(&mut self, key: &CustomerId, window: u64, step: f64, why: Why, plan: &Plan) {
         let index = self.customers[key].plan as u64;
-        let kind: &[u8] = if matches!(why, Why::Slot(_)) { b"open" } else { b"" };
-        let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes(), kind]);
+        let counter = hash(&[key.as_bytes(), &index.to_le_bytes(), &window.to_le_bytes()]);
         let call = Call { customer: key.clone(), window, step, why };
         self.calls.entry(counter).or_default().push_back(call);
         self.tokens.level -= 1.0;
-        let length = if kind.is_empty() { window_length(plan) } else { SLOT_AIMS * self.aim() };
-        self.out.push(Action::Count { counter, amount: step, ttl: (2.2 * length).min(60.0) });
+        self.out.push(Action::Count { counter, amount: step, ttl: (2.2 * window_length(plan)).min(60.0) });
     }
 
     /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
@@ -719,14 +673,6 @@
         self.pace_calls(status, spent);
         let Some(customer) = self.customers.get_mut(&call.customer) else { return };
         let plan = self.set.plans[customer.plan].clone();
-        if let Why::Slot(id) = &call.why {
-            let fits = (status == Status::Ok).then_some(total <= f64::from(plan.open) + 1e-6);
-            let kept = call.step < 0.0 || self.slot_answer(id, call.window, fits);
-            if !kept && status == Status::Ok {
-                self.call(&call.customer, call.window, -1.0, call.why.clone(), &plan);
-            }
-            return;
-        }
         if status == Status::Ok {
             self.settle(&call, total, &plan);
         }
@@ -763,7 +709,7 @@
         let limit = plan.burst + plan.rate * age;
         let prior = total - call.step;
         match call.why {
-            Why::Correct | Why::Slot(_) => {}
+            Why::Correct => {}
             Why::Read if call.window + 1 == window && prior > 1e-6 => {
                 let turn = plan.burst + plan.rate * window_length(plan) - total;
                 let missing = plan.burst - (turn + plan.rate * age).min(plan.burst);
@@ -807,7 +753,6 @@
     fn send_first(&mut self, id: JobId) {
         self.further = (self.further + FURTHER.0).min(FURTHER.1);
         if !self.send(&id) {
-            self.release_slot(&id);
             self.end(&id, self.set.max_retry_after);
         }
     }
@@ -854,7 +799,6 @@
             }
         }
         let (idle, done, streaming) = (job.out() == 0, over || job.over, job.streaming);
-        self.release_slot(id);
         if done || streaming || !idle {
             return if done {
                 self.over(id)
@@ -908,7 +852,6 @@
         match self.due.remove(&token) {
             Some(Due::Hold(key)) => self.stop_holding(&key, token),
             Some(Due::Hedge(id)) => self.hedge(&id),
-            Some(Due::Slot(id)) => _ = self.slot_answer(&id, 0, None),
             Some(Due::Sweep) => {
                 let idle = |c: &Customer| c.open == 0 && c.asking.is_none();
                 self.customers.retain(|_, c| self.now - c.touched < FORGET || !idle(c));
