--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -35,6 +35,7 @@
         expires: now + 3.0,
         plan: 0,
         spread: 2,
+        first: 0,
         class: 0,
         customer: "c".into(),
         repeat: false,
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,122 @@
+//! Many gateways of little load, driven together: what they do in sum.
+
+mod common;
+use common::*;
+use std::collections::BTreeSet;
+use weirusher::*;
+
+fn fleet(n: u32, settings: &Settings, servers: &[Server]) -> Vec<Rig> {
+    let rig = |me: u32| {
+        let mut s = settings.clone();
+        (s.me, s.gateways) = (me, n);
+        let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
+        let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
+        rig.list(ListKind::Stale, servers.to_vec());
+        rig
+    };
+    (0..n).map(rig).collect()
+}
+
+fn servers(n: u32) -> Vec<Server> {
+    (0..n).map(|i| server(&format!("s{i:03}"), Lifecycle::Running, 0.0)).collect()
+}
+
+/// One request through `rig`, answered in 50 ms if sent; the server it went to.
+fn one(rig: &mut Rig, job: &str, spread: u32) -> Option<ServerId> {
+    let mut request = request(job, rig.now);
+    request.spread = spread;
+    let out = rig.event(Event::Request(request));
+    let (job, server) = sends(&out).pop()?;
+    rig.outcome(&job, 0, &server, Status::Ok);
+    Some(server)
+}
+
+#[test]
+fn hundreds_told_of_a_cold_server_at_one_instant_do_not_push_it_over() {
+    let mut s = settings();
+    s.plans = vec![Plan::default()];
+    let (n, warm) = (200, servers(9));
+    let mut rigs = fleet(n, &s, &warm);
+    let mut sent = 0.0;
+    let mut to_cold = 0.0;
+    for step in 0..80 {
+        let now = 100.0 + f64::from(step) * 0.1;
+        for (i, rig) in rigs.iter_mut().enumerate() {
+            rig.now = now;
+            if step == 70 {
+                rig.list(ListKind::Changes, vec![server("s000", Lifecycle::Running, now)]);
+            }
+            if (i + step as usize) % 5 == 0 {
+                let server = one(rig, &format!("{i}-{step}"), n);
+                sent += f64::from(u8::from(server.is_some() && step < 70));
+                to_cold += f64::from(u8::from(server.as_deref() == Some("s000") && step >= 70));
+            }
+        }
+    }
+    let each = sent / 7.0 / 9.0; // What a server carried, a second.
+    let may = s.fall_multiple * s.cold_from * each * s.fall;
+    assert!(to_cold > 0.0, "a cold server is not left idle");
+    assert!(to_cold <= may, "{to_cold} sent in the fall span, {may} would push it over");
+}
+
+#[test]
+fn shares_under_one_request_keep_the_ceiling_even_when_most_gateways_restart() {
+    let mut s = settings();
+    s.has_counter = false;
+    (s.plans[0].ceiling_rate, s.plans[0].ceiling_burst) = (18.0, 36.0);
+    let n = 60;
+    let mut rigs = fleet(n, &s, &servers(9));
+    let mut sent = 0.0;
+    for step in 0..100 {
+        if step == 50 {
+            for (old, new) in rigs.iter_mut().zip(fleet(n, &s, &servers(9))).take(50) {
+                *old = new;
+            }
+        }
+        for (i, rig) in rigs.iter_mut().enumerate() {
+            rig.now = 100.0 + f64::from(step) * 0.1;
+            sent += f64::from(u8::from(one(rig, &format!("{i}-{step}"), n).is_some()));
+        }
+    }
+    let room = 16.0 + 8.0 * 10.0; // Between quota and ceiling, in burst and in ten seconds.
+    assert!(sent <= room, "{sent} sent off the count, {room} stand between quota and ceiling");
+    assert!(sent >= 0.5 * room, "{sent} sent: shares under one request still serve");
+}
+
+#[test]
+fn a_gateway_of_many_keeps_to_few_servers() {
+    let mut s = settings();
+    s.plans = vec![Plan::default()];
+    let mut rigs = fleet(100, &s, &servers(60));
+    let all: BTreeSet<ServerId> = (0..200).filter_map(|i| one(&mut rigs[3], &format!("j{i}"), 1)).collect();
+    assert!((2..=12).contains(&all.len()), "{} servers used", all.len());
+    let firsts: BTreeSet<ServerId> = rigs.iter_mut().filter_map(|rig| one(rig, "first", 1)).collect();
+    assert!(firsts.len() >= 30, "together they use the fleet: {}", firsts.len());
+}
+
+/// Of 300 requests at one gateway, how many are turned away at once when `lost` in ten attempts never answer.
+fn refused_when_lost(lost: usize) -> usize {
+    let mut s = settings();
+    (s.plans, s.gateways) = (vec![Plan::default()], 20);
+    let mut rig = Rig::new(s);
+    let mut total = 0;
+    for i in 0..300 {
+        rig.now += 0.1;
+        let out = rig.ask(&format!("j{i}"));
+        total += refused(&out);
+        for (job, server) in sends(&out) {
+            let (status, spent) = if i * 3 % 10 < lost { (Status::Timeout, 1.0) } else { (Status::Ok, 0.03) };
+            let over = status == Status::Ok;
+            let load = Load::default();
+            rig.event(Event::Outcome { job, attempt: 0, server, status, spent, over, settled: None, load });
+        }
+    }
+    total
+}
+
+#[test]
+fn lost_answers_are_no_overload_but_a_fleet_that_times_out_is() {
+    assert!(refused_when_lost(4) <= 3, "four lost in ten turn nearly nobody away: {}", refused_when_lost(4));
+    let turned_away = refused_when_lost(8);
+    assert!(turned_away >= 30, "{turned_away} turned away at once when eight in ten time out");
+}
