Means for the bound over the same number of answers' times at any load; no advice that is no number

Cause: a gain per answer followed the noise where hundreds are out, and the bound swung. The property test found a retry-after of 0 over 0 under a plan with no rate.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -379,13 +379,15 @@
         host.latency = spent + (host.latency - spent) * fresh;
         host.heard = self.now;
         self.latency = mean(self.latency, spent);
+        // Over the same number of answers' times whether many are out or few.
+        let gain = 2.0 * GAIN / (1.0 + self.beside);
         // Lost answers are no overload: in that most are late, and those that come are slow.
         self.lost += GAIN * (f64::from(u8::from(status == Status::Timeout)) - self.lost);
         if status == Status::Ok || self.lost > LOST_MOST {
             let typical = if self.typical == 0.0 { spent } else { self.typical };
-            self.typical = typical * (spent.max(1e-3) / typical).powf(GAIN);
+            self.typical = typical * (spent.max(1e-3) / typical).powf(gain);
         }
-        self.beside = mean(self.beside, beside);
+        self.beside += gain * (beside - self.beside);
     }
 
     /// Whether one more attempt may go out. Little's law: as much as keeps answers within the wanted share of
@@ -829,7 +831,7 @@
         };
         if harmless {
             let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
-            self.out.push(Action::Refuse { job: id.clone(), retry_after: retry_after.clamp(0.0, most) });
+            self.out.push(Action::Refuse { job: id.clone(), retry_after: retry_after.max(0.0).min(most) });
         } else {
             self.out.push(Action::Fail { job: id.clone() });
         }
