--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,7 +46,7 @@
 /// Share of the cold budget that all gateways together plan to use.
 const COLD_SHARE: f64 = 0.4;
 /// A server is slow when its mean latency passes that of all servers by more than one over this.
-const OUTLIER: f64 = 0.6;
+const OUTLIER: f64 = 0.85;
 /// Seconds over which sends are averaged.
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
