--- a/src/logic.rs
+++ b/src/logic.rs
@@ -45,8 +45,8 @@
 const FURTHER: (f64, f64) = (0.1, 10.0);
 /// Share of the cold budget that all gateways together plan to use.
 const COLD_SHARE: f64 = 0.4;
-/// A server is slow when its mean latency passes that of all servers by more than one over this.
-const OUTLIER: f64 = 0.85;
+/// A server counts as fuller by its mean latency over that of all servers, from one over this on.
+const OUTLIER: f64 = 1.5;
 /// Seconds over which sends are averaged.
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
@@ -441,7 +441,7 @@
             if self.now < host.out_until || !in_group || job.attempts.iter().any(|a| a.server == id) {
                 continue;
             }
-            // Noise in a mean must not steer: only a server clearly slower than the fleet is sent less.
+            // Slower servers are sent less, by news that fades; those known as quick are not told apart.
             let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
             let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
             let score = (1.0 + host.inflight) * slow;
