--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,7 +56,7 @@
 /// Share of attempts without an answer in time from which they count as slow answers, not as lost ones.
 const LOST_MOST: f64 = 0.5;
 /// Seconds after which what was heard of a server counts for little.
-const NEWS_MEMORY: f64 = 8.0;
+const NEWS_MEMORY: f64 = 14.0;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
 /// Servers that a gateway keeps to while any may be sent to: at least, and times servers over gateways, so
