--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before a server is sent less: the rest is for swings.
-const PRESSED_AIM: f64 = 0.1;
+const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
