--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,7 +18,7 @@
 const BLOCK_SPAN: f64 = 0.3;
 /// Seconds over which demand is averaged: a few blocks.
 const DEMAND_MEMORY: f64 = 1.0;
-/// Seconds after which an unspent lease goes back and a known level is asked again: the page's refresh.
+/// Seconds after which a known level is asked again: the page's refresh.
 const REFRESH: f64 = 1.0;
 /// Share of the burst by which the count may lag behind what has lapsed before it is put right: for the first
 /// call in a window, whose level all others start from, and for later ones.
@@ -35,7 +35,7 @@
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
-/// Share of the aim that answers may take before a server is sent less: the rest is for swings.
+/// Share of the aim that answers may take before less is let in: the rest is for swings.
 const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
@@ -143,7 +143,7 @@
 }
 
 /// Why a count was called.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 enum Why {
     Ask { want: f64, owed: f64 },
     Read,
@@ -246,11 +246,15 @@
     (WINDOW_SPANS * plan.burst / plan.rate).clamp(WINDOW_BOUNDS.0, WINDOW_BOUNDS.1)
 }
 
+/// A customer's own phase, from 0 to 1, the same at every gateway.
+fn phase(id: &CustomerId) -> f64 {
+    (hash(&[id.as_bytes()]) % 1024) as f64 / 1024.0
+}
+
 /// The window at `now` and the seconds since it began; each customer's turns stand at a phase of its own.
 fn window(plan: &Plan, id: &CustomerId, now: Time) -> (u64, f64) {
     let length = window_length(plan);
-    let phase = (hash(&[id.as_bytes()]) % 1024) as f64 / 1024.0;
-    let spans = (now / length + phase).max(0.0);
+    let spans = (now / length + phase(id)).max(0.0);
     (spans as u64, spans.fract() * length)
 }
 
@@ -268,7 +272,7 @@
         Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
-    /// Takes one event at `self.now` and appends what is to be done, in order.
+    /// Takes one event at `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
         match event {
@@ -488,7 +492,7 @@
         }
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
-        // Rule 5: a restarted gateway does not know what it spent under a ceiling; else its last turn holds.
+        // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
         let level =
             if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
         let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
@@ -559,8 +563,7 @@
         if plan.ceiling_rate == 0.0 {
             return customer.share.refill(self.now, rate / spread, (burst / spread).max(units)) >= units;
         }
-        let phase =
-            f64::from(customer.turn % customer.spread) + (hash(&[key.as_bytes()]) % 1024) as f64 / 1024.0;
+        let phase = f64::from(customer.turn % customer.spread) + phase(key);
         let dealt = |at: Time| ((at / deal - phase) / spread).floor() * most;
         let (new, valid) =
             (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
