--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// One thread for all: the platform gives one core, and tasks that share it need no locks.
+pub fn node(config: &Path) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(FAILED, &format!("no runtime: {error}")),
+    };
+    match tokio::task::LocalSet::new().block_on(&runtime, weirusher_node::run(config)) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(owed) => {
+            tracing::warn!(owed, "stopped while requests were still owed their end");
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(FAILED, &error.to_string()),
+    }
+}
+
 pub fn check(file: &Path) -> ExitCode {
     match config(file) {
         Ok(config) => {
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -68,7 +68,8 @@
 /// Starts logging to standard error.
 pub fn start(json: bool) {
     let state = State { level: LINES.1, at: Instant::now(), dropped: 0 };
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn"));
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("warn,weirusher_node=info"));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(io::stderr().is_terminal())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -38,6 +38,12 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Run the gatekeeper on the platform until SIGTERM or SIGINT; SIGHUP reads the configuration anew.
+    Node {
+        /// Its configuration, as JSON.
+        #[arg(long, env = "NODE_CONFIG")]
+        config: PathBuf,
+    },
     /// Check a configuration and say all that is wrong in it.
     Check {
         /// The configuration.
@@ -155,6 +161,9 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     logs::start(cli.log == LogForm::Json);
+    if let Command::Node { config } = &cli.command {
+        return commands::node(config);
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return commands::fail(1, &format!("no runtime: {error}")),
@@ -162,6 +171,7 @@
     let code = runtime.block_on(async {
         match cli.command {
             Command::Run { config } => commands::run(&config).await,
+            Command::Node { .. } => unreachable!("it has a runtime of its own"),
             Command::Check { file } => commands::check(&file),
             Command::Standin { standin } => standins::run(standin).await,
             Command::Rehearse { day, hold: true, capture, .. } => commands::hold(&day, capture).await,
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -4,13 +4,13 @@
 //! allowed one leaves with a ticket, and the ledger keeps the attempt until a report closes it, or its limit
 //! does. What comes late, twice or from nowhere changes nothing and is counted.
 
-use crate::calls::CallOrder;
+use crate::seat::{Ask, Seat, Token};
 use crate::ticket::{Keyring, Ticket, TicketError};
-use crate::wheel::{TimerKey, Wheel};
+use crate::wheel::TimerKey;
 use std::collections::HashMap;
 use std::sync::Arc;
 use weirusher::{
-    Action, CustomerId, Effect, Event, Gateway, JobId, ListKind, Load, Request, Server, ServerId, Settings,
+    Action, CustomerId, Effect, Event, JobId, ListKind, Load, Request, Server, ServerId, Settings,
     SettingsError, Status, Time,
 };
 
@@ -104,21 +104,14 @@
         /// Handed back if it could not be delivered.
         delivery: Delivery,
     },
-    /// Call the counter.
-    Count {
-        /// Names the call.
-        call: u64,
-        /// The count's name.
-        counter: u64,
-        /// What to add.
-        amount: f64,
-        /// Seconds until a new name is forgotten.
-        ttl: f64,
-    },
-    /// Follow the list of checkers.
-    Watch,
-    /// A line for the log.
-    Log(String),
+    /// What the module wants of the world around.
+    Ask(Ask),
+}
+
+impl From<Ask> for Output {
+    fn from(ask: Ask) -> Self {
+        Self::Ask(ask)
+    }
 }
 
 /// How an attempt ended, as a report tells it.
@@ -258,6 +251,12 @@
     Forget(u64),
 }
 
+impl From<Token> for Due {
+    fn from(Token(token): Token) -> Self {
+        Self::Module(token)
+    }
+}
+
 /// Why an engine cannot start.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum EngineError {
@@ -273,16 +272,13 @@
     epoch: u64,
     ring: Keyring,
     effects: Vec<Effect>,
-    gateway: Gateway,
+    seat: Seat<Due>,
     ledger: HashMap<u64, Entry>,
     most: usize,
     callers: HashMap<Caller, u64>,
     /// Attempts whose tickets are out.
     issued: usize,
-    calls: CallOrder,
-    wheel: Wheel<Due>,
     next: u64,
-    actions: Vec<Action>,
     outputs: Vec<Output>,
     tally: Tally,
 }
@@ -306,15 +302,12 @@
             epoch,
             ring,
             effects,
-            gateway: Gateway::new(settings, seed).map_err(EngineError::Settings)?,
+            seat: Seat::new(settings, seed, now).map_err(EngineError::Settings)?,
             ledger: HashMap::new(),
             most,
             callers: HashMap::new(),
             issued: 0,
-            calls: CallOrder::default(),
-            wheel: Wheel::new(now),
             next: 0,
-            actions: Vec::new(),
             outputs: Vec::new(),
             tally: Tally::default(),
         })
@@ -337,7 +330,7 @@
 
     /// When [`Engine::advance`] should be called next.
     pub fn next_deadline(&self) -> Option<Time> {
-        self.wheel.next()
+        self.seat.wheel.next()
     }
 
     /// What is to be done, in order.
@@ -427,9 +420,8 @@
 
     /// A counter call ended.
     pub fn counted(&mut self, now: Time, call: u64, status: Status, total: f64, spent: f64) {
-        let Some((counter, ends)) = self.calls.end(call, (status, total, spent)) else { return };
-        for (status, total, spent) in ends {
-            self.handle(now, Event::Counted { counter, status, total, spent });
+        for event in self.seat.counted(call, status, total, spent) {
+            self.handle(now, event);
         }
     }
 
@@ -440,7 +432,7 @@
 
     /// Lets the timers come due.
     pub fn advance(&mut self, now: Time) {
-        for due in self.wheel.expire(now) {
+        for due in self.seat.wheel.expire(now) {
             match due {
                 Due::Module(token) => self.handle(now, Event::Timer { token }),
                 Due::Limit(seq, attempt) => {
@@ -473,7 +465,7 @@
         let seq = self.next;
         let job: JobId = Arc::from(format!("{seq:x}"));
         let expires = now + check.patience;
-        let forget = Some(self.wheel.set(expires + KEEP, Due::Forget(seq)));
+        let forget = Some(self.seat.wheel.set(expires + KEEP, Due::Forget(seq)));
         self.callers.insert(caller, seq);
         self.ledger.insert(
             seq,
@@ -526,7 +518,7 @@
         match state {
             State::Parked => self.issue(now, seq, last),
             State::Issued => {
-                let timer = self.wheel.set(now + ENDING_WAIT, Due::Ending(seq));
+                let timer = self.seat.wheel.set(now + ENDING_WAIT, Due::Ending(seq));
                 self.ledger.get_mut(&seq).expect("seen above").ending = Some(timer);
             }
             State::Closed => {
@@ -599,7 +591,7 @@
         if entry.waiting.is_some() {
             return self.issue(now, seq, attempt);
         }
-        let timer = self.wheel.set((now + PARK_WAIT).min(limit), Due::Parked(seq));
+        let timer = self.seat.wheel.set((now + PARK_WAIT).min(limit), Due::Parked(seq));
         self.ledger.get_mut(&seq).expect("seen above").attempts[attempt as usize].timer = Some(timer);
     }
 
@@ -609,9 +601,9 @@
         (tried.state, tried.since) = (State::Issued, now);
         self.issued += 1;
         if let Some(timer) = tried.timer.take() {
-            self.wheel.cancel(timer);
+            self.seat.wheel.cancel(timer);
         }
-        tried.timer = Some(self.wheel.set(tried.limit + REPORT_WAIT, Due::Limit(seq, attempt)));
+        tried.timer = Some(self.seat.wheel.set(tried.limit + REPORT_WAIT, Due::Limit(seq, attempt)));
         let ticket = Ticket {
             issuer: self.me,
             epoch: self.epoch,
@@ -640,10 +632,10 @@
             self.issued -= 1;
         }
         if let Some(timer) = tried.timer.take() {
-            self.wheel.cancel(timer);
+            self.seat.wheel.cancel(timer);
         }
         if let Some(timer) = entry.ending.take() {
-            self.wheel.cancel(timer);
+            self.seat.wheel.cancel(timer);
         }
         let most = (now - tried.since).max(0.0);
         // A reporter's own figure is believed only as far as the time that has passed here.
@@ -689,19 +681,18 @@
         }
         let entry = self.ledger.remove(&seq).expect("seen above");
         for timer in [entry.forget, entry.ending].into_iter().flatten() {
-            self.wheel.cancel(timer);
+            self.seat.wheel.cancel(timer);
         }
     }
 
     // ---- The module ----
 
     fn handle(&mut self, now: Time, event: Event) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.gateway.handle(now, event, &mut actions);
+        let mut actions = self.seat.handle(now, event, &mut self.outputs);
         for action in actions.drain(..) {
             self.act(now, action);
         }
-        self.actions = actions;
+        self.seat.done(actions);
     }
 
     fn act(&mut self, now: Time, action: Action) {
@@ -709,18 +700,9 @@
             Action::Send { job, server, timeout } => self.begin(now, seq(&job), server, timeout),
             Action::Refuse { job, retry_after } => self.decided(seq(&job), Answer::Refused { retry_after }),
             Action::Fail { job } => self.decided(seq(&job), Answer::Failed(Failure::Decided)),
-            Action::Timer { token, at } => {
-                self.wheel.set(at, Due::Module(token));
-            }
-            Action::Count { counter, amount, ttl } => {
-                let call = self.calls.begin(counter);
-                self.outputs.push(Output::Count { call, counter, amount, ttl });
-            }
-            Action::Watch => self.outputs.push(Output::Watch),
-            Action::Log(text) => self.outputs.push(Output::Log(text)),
             // An edge cannot be told to call an attempt off, and probes are not asked for.
             Action::Cancel { .. } | Action::Probe { .. } => {}
-            _ => self.outputs.push(Output::Log("an action that this gatekeeper does not know".into())),
+            _ => self.outputs.push(Ask::Log("an action that this gatekeeper does not know".into()).into()),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,10 @@
 mod clock;
 mod engine;
 mod overshoot;
+mod pool;
+mod relay;
+mod seat;
+mod seats;
 mod ticket;
 mod wheel;
 
@@ -21,5 +25,9 @@
     Verdict,
 };
 pub use overshoot::Overshoot;
+pub use pool::{Pool, Room};
+pub use relay::{Arrival, Final, Relay, RelayOutput, RelayTally};
+pub use seat::Ask;
+pub use seats::{SeatId, Seats};
 pub use ticket::{Gate, Key, Keyring, Ticket, TicketError, TurnedAway};
 pub use wheel::{TimerKey, Wheel};
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,370 @@
+//! The ledger of requests that pass through: each open request, its attempts and their limits, and the one
+//! final answer that each is owed.
+//!
+//! A front tells what arrived and how attempts ended, and carries out the outputs in order. An attempt ends
+//! once, whichever comes first: what its connection brought, or its limit. What comes after that is ignored.
+
+use crate::engine::EngineError;
+use crate::seat::{Ask, Seat, Token};
+use crate::wheel::TimerKey;
+use std::collections::HashMap;
+use weirusher::{
+    Action, CustomerId, Event, JobId, ListKind, Load, Request, Server, ServerId, Settings, Status, Time,
+};
+
+/// Seconds before a client's patience ends by which its answer is on its way: the way there, which the client
+/// counts too, and a process that was kept from running for a moment.
+const ANSWER_LEAD: f64 = 0.02;
+/// The share of a client's patience that the lead takes at most, so that short ones keep most of theirs.
+const ANSWER_LEAD_SHARE: f64 = 0.1;
+
+/// A request that arrived.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Its id, none of an open request's.
+    pub job: JobId,
+    /// Its customer.
+    pub customer: CustomerId,
+    /// Index of its plan.
+    pub plan: usize,
+    /// Index of its class.
+    pub class: usize,
+    /// Units it takes from the quota.
+    pub units: f64,
+    /// Seconds until the client abandons it.
+    pub patience: f64,
+    /// How many gatekeepers carry the customer, and the number of the first.
+    pub spread: (u32, u32),
+    /// It is a client's marked repeat.
+    pub repeat: bool,
+}
+
+/// A final answer that no server gave.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Final {
+    /// Refused: a retry does no harm.
+    Refused {
+        /// Seconds the client should stay away; 0: no advice.
+        retry_after: f64,
+    },
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// What the relay wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RelayOutput {
+    /// Begin an attempt; [`Relay::ended`] tells its end.
+    Send {
+        /// The request.
+        job: JobId,
+        /// Its attempt, from 0.
+        attempt: u32,
+        /// The server.
+        server: ServerId,
+        /// Seconds until it is given up.
+        timeout: f64,
+    },
+    /// Give an attempt up: its connection must close. Its end has been told already.
+    Abort {
+        /// The request.
+        job: JobId,
+        /// Its attempt.
+        attempt: u32,
+    },
+    /// Give the client its final answer.
+    Answer {
+        /// The request.
+        job: JobId,
+        /// The answer.
+        verdict: Final,
+    },
+    /// What the module wants of the world around.
+    Ask(Ask),
+}
+
+impl From<Ask> for RelayOutput {
+    fn from(ask: Ask) -> Self {
+        Self::Ask(ask)
+    }
+}
+
+/// What was counted; each grows only.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize)]
+pub struct RelayTally {
+    /// Requests taken.
+    pub requests: u64,
+    /// Attempts begun.
+    pub attempts: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+    /// Requests whose client left first.
+    pub left: u64,
+    /// Requests that were still undecided when their time was up.
+    pub overdue: u64,
+    /// Attempts given up at their limit.
+    pub timed_out: u64,
+    /// Attempts that never got to their server.
+    pub unreached: u64,
+    /// Attempts that their server turned away.
+    pub turned_away: u64,
+    /// Attempts that broke or brought an error.
+    pub broken: u64,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    server: ServerId,
+    sent: Time,
+    /// Its limit, while it is out.
+    limit: Option<TimerKey>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    attempts: Vec<Attempt>,
+    out: usize,
+    /// When its time is up, while its answer is owed.
+    owed: Option<TimerKey>,
+}
+
+#[derive(Debug, Clone)]
+enum Due {
+    Module(u64),
+    Attempt(JobId, u32),
+    Expiry(JobId),
+}
+
+impl From<Token> for Due {
+    fn from(Token(token): Token) -> Self {
+        Self::Module(token)
+    }
+}
+
+/// A gatekeeper through which the requests pass, without its sockets.
+#[derive(Debug)]
+pub struct Relay {
+    seat: Seat<Due>,
+    ledger: HashMap<JobId, Entry>,
+    owed: usize,
+    outputs: Vec<RelayOutput>,
+    tally: RelayTally,
+}
+
+impl Relay {
+    /// A gatekeeper that starts at `now`, in Unix seconds; `seed` feeds all randomness.
+    ///
+    /// # Errors
+    /// Settings that no module can work with.
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, EngineError> {
+        let seat = Seat::new(settings, seed, now).map_err(EngineError::Settings)?;
+        Ok(Self { seat, ledger: HashMap::new(), owed: 0, outputs: Vec::new(), tally: RelayTally::default() })
+    }
+
+    /// What was counted so far.
+    pub fn tally(&self) -> RelayTally {
+        self.tally
+    }
+
+    /// Requests that are owed an answer.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// Requests in the ledger: those owed an answer, and those with attempts still out.
+    pub fn open(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// Whether a request of this id is in the ledger.
+    pub fn knows(&self, job: &str) -> bool {
+        self.ledger.contains_key(job)
+    }
+
+    /// When [`Relay::advance`] should be called next.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.seat.wheel.next()
+    }
+
+    /// Moves what is to be done, in order, to the end of `into`.
+    pub fn take_outputs(&mut self, into: &mut Vec<RelayOutput>) {
+        into.append(&mut self.outputs);
+    }
+
+    // ---- Events ----
+
+    /// A request arrived. `false`: its id is in the ledger already, and nothing was done.
+    pub fn request(&mut self, now: Time, arrival: Arrival) -> bool {
+        if self.knows(&arrival.job) {
+            return false;
+        }
+        self.tally.requests += 1;
+        let lead = ANSWER_LEAD.min(ANSWER_LEAD_SHARE * arrival.patience);
+        let expires = now + arrival.patience - lead;
+        let Arrival { job, customer, plan, class, units, spread: (spread, first), repeat, .. } = arrival;
+        let owed = Some(self.seat.wheel.set(expires, Due::Expiry(job.clone())));
+        self.ledger.insert(job.clone(), Entry { attempts: Vec::new(), out: 0, owed });
+        self.owed += 1;
+        let request = Request { job, units, expires, plan, spread, first, class, customer, repeat };
+        self.handle(now, Event::Request(request));
+        true
+    }
+
+    /// The client left before its answer.
+    pub fn left(&mut self, now: Time, job: &JobId) {
+        if self.settle(job) {
+            self.tally.left += 1;
+            self.depart(now, job);
+        }
+    }
+
+    /// An attempt ended. `true`: its answer is the one that the client is owed.
+    pub fn ended(&mut self, now: Time, job: &JobId, attempt: u32, status: Status, load: Load) -> bool {
+        let Some((server, spent)) = self.close(now, job, attempt) else { return false };
+        match status {
+            Status::ConnectFailed | Status::Moot => self.tally.unreached += 1,
+            Status::Full => self.tally.turned_away += 1,
+            Status::Timeout => self.tally.timed_out += 1,
+            Status::Error | Status::Reset => self.tally.broken += 1,
+            Status::Ok | Status::Cancelled => {}
+        }
+        let serves = status == Status::Ok && self.settle(job);
+        self.tally.served += u64::from(serves);
+        let over = self.ledger.get(job).is_some_and(|e| e.owed.is_none());
+        let (job, settled) = (job.clone(), None);
+        let told = Event::Outcome { job: job.clone(), attempt, server, status, spent, over, settled, load };
+        self.handle(now, told);
+        self.forget(&job);
+        serves
+    }
+
+    /// A counter call ended.
+    pub fn counted(&mut self, now: Time, call: u64, status: Status, total: f64, spent: f64) {
+        for event in self.seat.counted(call, status, total, spent) {
+            self.handle(now, event);
+        }
+    }
+
+    /// The list of servers came.
+    pub fn list(&mut self, now: Time, kind: ListKind, servers: Vec<Server>) {
+        self.handle(now, Event::List { kind, servers });
+    }
+
+    /// Lets the timers come due.
+    pub fn advance(&mut self, now: Time) {
+        for due in self.seat.wheel.expire(now) {
+            match due {
+                Due::Module(token) => self.handle(now, Event::Timer { token }),
+                Due::Attempt(job, attempt) => {
+                    // First, so that its connection is free before the module begins another.
+                    self.outputs.push(RelayOutput::Abort { job: job.clone(), attempt });
+                    self.ended(now, &job, attempt, Status::Timeout, Load::default());
+                }
+                Due::Expiry(job) => self.expire(now, &job),
+            }
+        }
+    }
+
+    // ---- The ledger ----
+
+    /// The client's time is nearly up and the module has not decided: rule 1 goes first.
+    fn expire(&mut self, now: Time, job: &JobId) {
+        if !self.settle(job) {
+            return;
+        }
+        self.tally.overdue += 1;
+        self.tally.failed += 1;
+        self.outputs.push(RelayOutput::Answer { job: job.clone(), verdict: Final::Failed });
+        self.depart(now, job);
+    }
+
+    /// Nobody waits any more: the module is told, and what is out is called off.
+    fn depart(&mut self, now: Time, job: &JobId) {
+        self.handle(now, Event::Left { job: job.clone() });
+        let attempts = self.ledger.get(job).map_or(0, |e| e.attempts.len() as u32);
+        for attempt in 0..attempts {
+            self.call_off(now, job, attempt);
+        }
+        self.forget(job);
+    }
+
+    fn call_off(&mut self, now: Time, job: &JobId, attempt: u32) {
+        let out = self.ledger.get(job).and_then(|e| e.attempts.get(attempt as usize));
+        if out.is_some_and(|a| a.limit.is_some()) {
+            self.outputs.push(RelayOutput::Abort { job: job.clone(), attempt });
+            self.ended(now, job, attempt, Status::Cancelled, Load::default());
+        }
+    }
+
+    /// The final answer is given: `true` the first time.
+    fn settle(&mut self, job: &JobId) -> bool {
+        let Some(owed) = self.ledger.get_mut(job).and_then(|e| e.owed.take()) else { return false };
+        self.seat.wheel.cancel(owed);
+        self.owed -= 1;
+        true
+    }
+
+    /// Closes an attempt once: its server, and the seconds since it was sent.
+    fn close(&mut self, now: Time, job: &JobId, attempt: u32) -> Option<(ServerId, f64)> {
+        let entry = self.ledger.get_mut(job)?;
+        let tried = entry.attempts.get_mut(attempt as usize)?;
+        self.seat.wheel.cancel(tried.limit.take()?);
+        entry.out -= 1;
+        Some((tried.server.clone(), now - tried.sent))
+    }
+
+    /// Drops an entry that is answered and has nothing out.
+    fn forget(&mut self, job: &JobId) {
+        if self.ledger.get(job).is_some_and(|e| e.owed.is_none() && e.out == 0) {
+            self.ledger.remove(job);
+        }
+    }
+
+    // ---- The module ----
+
+    fn handle(&mut self, now: Time, event: Event) {
+        let mut actions = self.seat.handle(now, event, &mut self.outputs);
+        for action in actions.drain(..) {
+            self.act(now, action);
+        }
+        self.seat.done(actions);
+    }
+
+    fn act(&mut self, now: Time, action: Action) {
+        match action {
+            Action::Send { job, server, timeout } => self.begin(now, job, server, timeout),
+            Action::Refuse { job, retry_after } => self.decided(job, Final::Refused { retry_after }),
+            Action::Fail { job } => self.decided(job, Final::Failed),
+            Action::Cancel { job, attempt } => self.call_off(now, &job, attempt),
+            // None are asked for: attempts tell enough.
+            Action::Probe { .. } => {}
+            _ => self.outputs.push(Ask::Log("an action that this gatekeeper does not know".into()).into()),
+        }
+    }
+
+    fn begin(&mut self, now: Time, job: JobId, server: ServerId, timeout: f64) {
+        let Some(entry) = self.ledger.get_mut(&job) else { return };
+        let attempt = entry.attempts.len() as u32;
+        let limit = Some(self.seat.wheel.set(now + timeout, Due::Attempt(job.clone(), attempt)));
+        entry.attempts.push(Attempt { server: server.clone(), sent: now, limit });
+        entry.out += 1;
+        self.tally.attempts += 1;
+        self.outputs.push(RelayOutput::Send { job, attempt, server, timeout });
+    }
+
+    fn decided(&mut self, job: JobId, verdict: Final) {
+        if !self.settle(&job) {
+            return;
+        }
+        match verdict {
+            Final::Refused { .. } => self.tally.refused += 1,
+            Final::Failed => self.tally.failed += 1,
+        }
+        self.forget(&job);
+        self.outputs.push(RelayOutput::Answer { job, verdict });
+    }
+}
--- /dev/null
+++ b/crates/core/src/seat.rs
@@ -0,0 +1,85 @@
+//! What every ledger does alike with the decision module: its timers, its counter calls in order, its wishes.
+
+use crate::calls::CallOrder;
+use crate::wheel::Wheel;
+use weirusher::{Action, Event, Gateway, Settings, SettingsError, Status, Time};
+
+/// What the module wants of the world around, whichever ledger it decides for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    /// Call the counter.
+    Count {
+        /// Names the call.
+        call: u64,
+        /// The count's name.
+        counter: u64,
+        /// What to add.
+        amount: f64,
+        /// Seconds until a new name is forgotten.
+        ttl: f64,
+    },
+    /// Follow the list of servers.
+    Watch,
+    /// A line for the log.
+    Log(String),
+}
+
+/// A timer that the module asked for, by its token.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Token(pub u64);
+
+/// The module's seat at a ledger.
+#[derive(Debug)]
+pub(crate) struct Seat<D> {
+    gateway: Gateway,
+    calls: CallOrder,
+    /// The ledger's timers and the module's.
+    pub wheel: Wheel<D>,
+    spare: Vec<Action>,
+}
+
+impl<D: From<Token>> Seat<D> {
+    pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, SettingsError> {
+        let gateway = Gateway::new(settings, seed)?;
+        Ok(Self { gateway, calls: CallOrder::default(), wheel: Wheel::new(now), spare: Vec::new() })
+    }
+
+    /// Tells the module; what it wants done with requests comes back, in order, and the vector is to be
+    /// handed back by [`Seat::done`].
+    pub fn handle<O: From<Ask>>(&mut self, now: Time, event: Event, outputs: &mut Vec<O>) -> Vec<Action> {
+        let mut actions = std::mem::take(&mut self.spare);
+        self.gateway.handle(now, event, &mut actions);
+        actions.retain(|action| !self.common(action, outputs));
+        actions
+    }
+
+    /// Takes the vector of [`Seat::handle`] back, for the next event.
+    pub fn done(&mut self, mut actions: Vec<Action>) {
+        actions.clear();
+        self.spare = actions;
+    }
+
+    /// A counter call ended: the events that may be told now, in the order in which the calls were made.
+    pub fn counted(&mut self, call: u64, status: Status, total: f64, spent: f64) -> Vec<Event> {
+        let Some((counter, ends)) = self.calls.end(call, (status, total, spent)) else { return Vec::new() };
+        let told = |(status, total, spent)| Event::Counted { counter, status, total, spent };
+        ends.into_iter().map(told).collect()
+    }
+
+    fn common<O: From<Ask>>(&mut self, action: &Action, outputs: &mut Vec<O>) -> bool {
+        let ask = match *action {
+            Action::Timer { token, at } => {
+                self.wheel.set(at, D::from(Token(token)));
+                return true;
+            }
+            Action::Count { counter, amount, ttl } => {
+                Ask::Count { call: self.calls.begin(counter), counter, amount, ttl }
+            }
+            Action::Watch => Ask::Watch,
+            Action::Log(ref text) => Ask::Log(text.clone()),
+            _ => return false,
+        };
+        outputs.push(O::from(ask));
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/seats.rs
@@ -0,0 +1,134 @@
+//! Which clients' connections are kept, and which gives way when descriptors are short.
+
+use std::collections::{BTreeMap, BTreeSet};
+use weirusher::Time;
+
+/// Seconds within which a new connection must have brought its first whole request, or is let go.
+pub const FIRST_REQUEST: f64 = 2.5;
+/// Seconds after which a new connection that brought nothing whole may give way: its request may be on its way.
+const FRESH_GRACE: f64 = 0.25;
+/// Seconds after which a connection with no open request may give way, and after which it is let go.
+const IDLE_GRACE: f64 = 2.0;
+const IDLE_MOST: f64 = 20.0;
+
+/// Names a connection.
+pub type SeatId = u64;
+
+/// What a connection is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Use {
+    /// Nothing whole has come yet.
+    Fresh,
+    /// No request is open.
+    Idle,
+    /// A request is open: it never gives way.
+    Busy,
+}
+
+/// Clients' connections, in a bounded number.
+#[derive(Debug)]
+pub struct Seats {
+    most: usize,
+    seated: BTreeMap<SeatId, (Use, u64)>,
+    /// Those that may give way, in the order in which they do.
+    spare: BTreeSet<(Use, u64, SeatId)>,
+}
+
+/// A connection's moment, so that it can be ordered: microseconds.
+fn micros(at: Time) -> u64 {
+    (at * 1e6) as u64
+}
+
+impl Seats {
+    /// At most `most` connections.
+    pub fn new(most: usize) -> Self {
+        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new() }
+    }
+
+    /// How many are seated.
+    pub fn len(&self) -> usize {
+        self.seated.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.seated.is_empty()
+    }
+
+    /// Whether one more may be accepted.
+    pub fn free(&self) -> bool {
+        self.seated.len() < self.most
+    }
+
+    /// A connection was accepted.
+    pub fn sit(&mut self, now: Time, id: SeatId) {
+        self.place(now, id, Use::Fresh);
+    }
+
+    /// Its request is open.
+    pub fn busy(&mut self, now: Time, id: SeatId) {
+        self.place(now, id, Use::Busy);
+    }
+
+    /// Its request is answered.
+    pub fn idle(&mut self, now: Time, id: SeatId) {
+        self.place(now, id, Use::Idle);
+    }
+
+    /// It is closed.
+    pub fn leave(&mut self, id: SeatId) {
+        if let Some((kind, since)) = self.seated.remove(&id) {
+            self.spare.remove(&(kind, since, id));
+        }
+    }
+
+    /// The connections to let go: those that have overstayed, and where all seats are taken the one that was
+    /// of no use for longest. They stay seated until they leave, and are not named again.
+    pub fn overdue(&mut self, now: Time) -> Vec<SeatId> {
+        let mut gone = Vec::new();
+        for (kind, most) in [(Use::Fresh, FIRST_REQUEST), (Use::Idle, IDLE_MOST)] {
+            while let Some(id) = self.longest(kind, now - most) {
+                gone.push(id);
+            }
+        }
+        if gone.is_empty() && !self.free() {
+            let fresh = self.longest(Use::Fresh, now - FRESH_GRACE);
+            gone.extend(fresh.or_else(|| self.longest(Use::Idle, now - IDLE_GRACE)));
+        }
+        gone
+    }
+
+    /// All that have no open request: at the end.
+    pub fn unused(&mut self) -> Vec<SeatId> {
+        std::mem::take(&mut self.spare).into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// When [`Seats::overdue`] next has something to say.
+    pub fn next_overdue(&self) -> Option<Time> {
+        let first = |kind, stay: f64| {
+            let (_, since, _) = self.spare.range((kind, 0, 0)..).next().filter(|s| s.0 == kind)?;
+            Some(*since as f64 / 1e6 + stay)
+        };
+        let (fresh, idle) = if self.free() { (FIRST_REQUEST, IDLE_MOST) } else { (FRESH_GRACE, IDLE_GRACE) };
+        first(Use::Fresh, fresh).into_iter().chain(first(Use::Idle, idle)).reduce(f64::min)
+    }
+
+    fn place(&mut self, now: Time, id: SeatId, kind: Use) {
+        self.leave(id);
+        let since = micros(now);
+        self.seated.insert(id, (kind, since));
+        if kind != Use::Busy {
+            self.spare.insert((kind, since, id));
+        }
+    }
+
+    /// Takes the longest of a kind off those that may give way, if it is so since `before`.
+    fn longest(&mut self, kind: Use, before: Time) -> Option<SeatId> {
+        let found = *self.spare.range((kind, 0, 0)..).next()?;
+        if found.0 != kind || found.1 > micros(before) {
+            return None;
+        }
+        self.spare.remove(&found);
+        Some(found.2)
+    }
+}
--- a/crates/gatekeeper/src/clients/counter.rs
+++ b/crates/gatekeeper/src/clients/counter.rs
@@ -1,6 +1,5 @@
 //! The counter, over one pipelined RESP connection.
 
-use crate::clock::Clock;
 use crate::driver::{CounterCall, WorldEvent};
 use crate::stats::Stats;
 use bytes::BytesMut;
@@ -13,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::FramedRead;
 use weirusher::Status;
+use weirusher_clock::Clock;
 use weirusher_core::{Backoff, GIVE_UP_CONNECTION, Pipeline};
 use weirusher_wire::resp::{self, Frame, RespCodec};
 
--- a/crates/gatekeeper/src/driver.rs
+++ b/crates/gatekeeper/src/driver.rs
@@ -1,13 +1,13 @@
 //! The one task that owns the engine.
 
-use crate::clock::Clock;
 use crate::stats::{Snapshot, Stats};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot, watch};
 use weirusher::{ListKind, Server, Status};
-use weirusher_core::{Answer, Caller, Check, Delivery, Ending, Engine, Output, Report, Tally};
+use weirusher_clock::Clock;
+use weirusher_core::{Answer, Ask, Caller, Check, Delivery, Ending, Engine, Output, Report, Tally};
 
 /// Checks and reports that may wait for the driver. A Check that finds it full is refused at once; a report
 /// waits, and holds back its stream.
@@ -181,7 +181,7 @@
                     self.engine.undelivered(self.clock.now(), delivery);
                 }
             }
-            Output::Count { call, counter, amount, ttl } => {
+            Output::Ask(Ask::Count { call, counter, amount, ttl }) => {
                 let call_out = CounterCall { call, counter, amount, ttl };
                 let sent = self.calls.as_ref().is_some_and(|calls| calls.try_send(call_out).is_ok());
                 if !sent {
@@ -189,10 +189,10 @@
                     self.engine.counted(self.clock.now(), call, Status::Full, 0.0, 0.0);
                 }
             }
-            Output::Watch => {
+            Output::Ask(Ask::Watch) => {
                 self.follow.send_replace(true);
             }
-            Output::Log(text) => tracing::info!(%text, "module"),
+            Output::Ask(Ask::Log(text)) => tracing::info!(%text, "module"),
         }
     }
 }
--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -8,7 +8,6 @@
 mod admin;
 mod attributes;
 mod clients;
-mod clock;
 mod driver;
 mod fronts;
 mod run;
--- a/crates/gatekeeper/src/run.rs
+++ b/crates/gatekeeper/src/run.rs
@@ -2,7 +2,6 @@
 
 use crate::admin;
 use crate::clients::{counter::CounterClient, discovery::DiscoveryClient};
-use crate::clock::Clock;
 use crate::driver::{CALL_QUEUE, Driver, FRONT_QUEUE, WORLD_QUEUE};
 use crate::fronts::{access_log::AccessLog, ext_authz::ExtAuthz};
 use crate::stats::Stats;
@@ -20,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Server;
+use weirusher_clock::Clock;
 use weirusher_config::Config;
 use weirusher_core::{Engine, EngineError, Keyring};
 
--- /dev/null
+++ b/crates/node/src/alarm.rs
@@ -0,0 +1,42 @@
+//! A task's wait for a moment that others may bring forward.
+
+use std::cell::Cell;
+use tokio::sync::Notify;
+use weirusher::Time;
+use weirusher_clock::Clock;
+
+/// Rings once at the earliest moment it was set to.
+#[derive(Debug)]
+pub struct Alarm {
+    armed: Cell<Time>,
+    sooner: Notify,
+}
+
+impl Default for Alarm {
+    fn default() -> Self {
+        Self { armed: Cell::new(f64::INFINITY), sooner: Notify::new() }
+    }
+}
+
+impl Alarm {
+    /// Rings at `due` at the latest; costs a wake only where that is sooner than before.
+    pub fn set(&self, due: Option<Time>) {
+        if let Some(due) = due.filter(|due| *due < self.armed.get()) {
+            self.armed.set(due);
+            self.sooner.notify_one();
+        }
+    }
+
+    /// Waits for it to ring; `due` is what is known to be due now, and sets it anew.
+    pub async fn ring(&self, clock: &Clock, due: Option<Time>) {
+        self.armed.set(due.unwrap_or(f64::INFINITY));
+        loop {
+            let armed = self.armed.get();
+            let sleep = tokio::time::sleep_until(clock.instant(armed));
+            tokio::select! {
+                () = sleep, if armed.is_finite() => return,
+                () = self.sooner.notified() => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/budget.rs
@@ -0,0 +1,30 @@
+//! What the platform's limits leave for each kind of use.
+
+use weirusher_platform::config::Limits;
+
+/// Descriptors for the process itself: standard streams, the runtime's, signals, the listener, discovery and
+/// the counter with their successors after a move.
+const OWN: usize = 24;
+/// Share of the rest that is kept free, so that accept and connect never fail for want of one.
+const RESERVE: f64 = 0.1;
+/// Share of what may be used that workers' connections may take; the rest is for clients.
+const WORKERS: f64 = 0.4;
+/// Share of the memory that requests' bodies may take together.
+const BODIES: f64 = 0.2;
+
+/// Connections and bytes by kind of use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Budget {
+    pub clients: usize,
+    pub workers: usize,
+    pub body_bytes: usize,
+}
+
+impl Budget {
+    pub fn new(limits: &Limits) -> Self {
+        let usable = limits.sockets.saturating_sub(OWN) as f64 * (1.0 - RESERVE);
+        let workers = ((usable * WORKERS) as usize).max(1);
+        let clients = (usable as usize).saturating_sub(workers).max(1);
+        Self { clients, workers, body_bytes: (limits.memory_mb * 1e6 * BODIES) as usize }
+    }
+}
--- /dev/null
+++ b/crates/node/src/client.rs
@@ -0,0 +1,295 @@
+//! Clients' connections: one request after another, each with one answer.
+
+use crate::hub::{Hub, Reply};
+use bytes::{Buf, Bytes, BytesMut};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use weirusher::JobId;
+use weirusher_core::{Arrival, Final, SeatId};
+use weirusher_platform::client::{self, Asked, BadRequest, Demand};
+use weirusher_platform::worker::Passed;
+use weirusher_wire::head::{HeadSearch, NO_HEADERS, request};
+
+/// Bytes of a connection's buffer, to begin with and again once it is empty.
+const BUFFER: usize = 1024;
+/// Bytes of further requests that are read while one is open; more wait in the socket.
+const MOST_AHEAD: usize = 16 * 1024;
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// What is still read of a request that was turned away, and for how long, so that its error arrives.
+const LINGER: (usize, Duration) = (256 * 1024, Duration::from_millis(300));
+
+/// Accepts connections while there are seats.
+pub async fn listen(hub: Rc<Hub>, listener: Rc<TcpListener>) {
+    let mut next: SeatId = 0;
+    loop {
+        while !hub.state.borrow().seats.free() {
+            hub.idlers.set(hub.state.borrow().seats.next_overdue());
+            hub.seat.notified().await;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "no connection can be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let _ = stream.set_nodelay(true); // Without it answers are merely slower.
+        next += 1;
+        let leave = Rc::new(Notify::new());
+        {
+            let state = &mut *hub.state.borrow_mut();
+            state.seats.sit(hub.now(), next);
+            state.leavers.insert(next, leave.clone());
+            hub.idlers.set(state.seats.next_overdue());
+        }
+        let seat = Seat { hub: hub.clone(), id: next };
+        tokio::task::spawn_local(Connection::new(seat, stream, leave).serve());
+    }
+}
+
+/// A seat taken; dropped, it is free again.
+struct Seat {
+    hub: Rc<Hub>,
+    id: SeatId,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let state = &mut *self.hub.state.borrow_mut();
+        state.seats.leave(self.id);
+        state.leavers.remove(&self.id);
+        self.hub.seat.notify_one();
+    }
+}
+
+/// A request whose client waits; dropped unanswered, the client has left.
+struct Open {
+    hub: Rc<Hub>,
+    job: JobId,
+    held: usize,
+    answered: bool,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.hub.state.borrow_mut().body_bytes -= self.held;
+        if !self.answered {
+            self.hub.left(&self.job);
+        }
+    }
+}
+
+/// What a connection brought next.
+enum Next {
+    Ready { closes: bool },
+    Request(Demand, Passed),
+    End,
+}
+
+struct Connection {
+    seat: Seat,
+    stream: TcpStream,
+    leave: Rc<Notify>,
+    buffer: BytesMut,
+    search: HeadSearch,
+    /// The client sends nothing more; it may still read.
+    ended: bool,
+}
+
+impl Connection {
+    fn new(seat: Seat, stream: TcpStream, leave: Rc<Notify>) -> Self {
+        let (buffer, search) = (BytesMut::with_capacity(BUFFER), HeadSearch::default());
+        Self { seat, stream, leave, buffer, search, ended: false }
+    }
+
+    async fn serve(mut self) {
+        // An error here is the client's own end of the connection: nobody is left to be told.
+        while let Ok(true) = self.turn().await {}
+    }
+
+    /// One request and its answer; `false`: the connection is over.
+    async fn turn(&mut self) -> io::Result<bool> {
+        match self.next().await {
+            Ok(Next::End) => Ok(false),
+            Ok(Next::Ready { closes }) => {
+                let close = closes || self.stopping();
+                let mut out = BytesMut::new();
+                client::write_ready(&mut out, self.seat.hub.ready.get() && !self.stopping(), close);
+                self.stream.write_all(&out).await?;
+                self.idle();
+                Ok(!close)
+            }
+            Ok(Next::Request(demand, passed)) => self.request(demand, passed).await,
+            Err(bad) => {
+                self.turn_down(bad).await?;
+                Ok(false)
+            }
+        }
+    }
+
+    fn stopping(&self) -> bool {
+        self.seat.hub.stopping.get()
+    }
+
+    fn idle(&mut self) {
+        if self.buffer.is_empty() && self.buffer.capacity() != BUFFER {
+            self.buffer = BytesMut::with_capacity(BUFFER);
+        }
+        let state = &mut *self.seat.hub.state.borrow_mut();
+        state.seats.idle(self.seat.hub.now(), self.seat.id);
+        self.seat.hub.idlers.set(state.seats.next_overdue());
+    }
+
+    // ---- Reading ----
+
+    async fn next(&mut self) -> Result<Next, BadRequest> {
+        let mut partial = false;
+        loop {
+            if let Some(end) = self.search.end(&self.buffer)? {
+                return self.whole(end).await;
+            }
+            if self.ended {
+                return Ok(Next::End);
+            }
+            if !partial && !self.buffer.is_empty() {
+                // Half a request has as long as a new connection has.
+                partial = true;
+                let hub = &self.seat.hub;
+                hub.state.borrow_mut().seats.sit(hub.now(), self.seat.id);
+            }
+            if !self.more().await? {
+                return Ok(Next::End);
+            }
+        }
+    }
+
+    /// Reads on; `false`: the connection is to be closed. Half a request that is let go is too slow.
+    async fn more(&mut self) -> Result<bool, BadRequest> {
+        let read = tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.buffer) => read,
+            () = self.leave.notified() => {
+                // What came just now is served: the client could not know.
+                match self.stream.try_read_buf(&mut self.buffer) {
+                    Ok(1..) => return Ok(true),
+                    _ if self.buffer.is_empty() => return Ok(false),
+                    _ => return Err(BadRequest::Slow),
+                }
+            }
+        };
+        match read {
+            Ok(0) => {
+                self.ended = true;
+                Ok(false)
+            }
+            Ok(_) => Ok(true),
+            Err(_) => Ok(false),
+        }
+    }
+
+    /// A head is whole: reads it and its body.
+    async fn whole(&mut self, end: usize) -> Result<Next, BadRequest> {
+        let head = self.buffer.split_to(end);
+        let mut slots = NO_HEADERS;
+        let parsed = request(&head, &mut slots)?;
+        let demand = match client::read(&self.seat.hub.names, &parsed)? {
+            Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
+            Asked::Demand(demand) => demand,
+        };
+        let budget = self.seat.hub.budget.body_bytes;
+        if self.seat.hub.state.borrow().body_bytes + demand.length > budget {
+            return Err(BadRequest::NoRoom);
+        }
+        while self.buffer.len() < demand.length {
+            self.buffer.reserve(demand.length - self.buffer.len());
+            if !self.more().await? {
+                return Ok(Next::End);
+            }
+        }
+        let body = self.buffer.split_to(demand.length).freeze();
+        let passed = Passed::new(&parsed, &demand.job, body);
+        Ok(Next::Request(demand, passed))
+    }
+
+    // ---- Answering ----
+
+    async fn request(&mut self, demand: Demand, passed: Passed) -> io::Result<bool> {
+        let hub = self.seat.hub.clone();
+        let Demand { job, customer, class, plan, units, spread, patience, repeat, closes, .. } = demand;
+        hub.state.borrow_mut().seats.busy(hub.now(), self.seat.id);
+        let held = passed.held();
+        let arrival = Arrival { job: job.clone(), customer, plan, class, units, patience, spread, repeat };
+        let Some(reply) = hub.request(arrival, passed) else {
+            self.turn_down(BadRequest::Doubled).await?;
+            return Ok(false);
+        };
+        hub.state.borrow_mut().body_bytes += held;
+        let mut open = Open { hub, job, held, answered: false };
+        let reply = self.answer(reply).await?;
+        open.answered = true;
+        let close = closes || self.stopping();
+        self.write(reply, close).await?;
+        self.idle();
+        Ok(!close)
+    }
+
+    /// Waits for the answer, and for the client to leave; reads ahead a little meanwhile.
+    async fn answer(&mut self, mut reply: oneshot::Receiver<Reply>) -> io::Result<Reply> {
+        let gone = || io::Error::from(io::ErrorKind::ConnectionAborted);
+        loop {
+            let reads = !self.ended && self.buffer.len() < MOST_AHEAD;
+            tokio::select! {
+                biased;
+                reply = &mut reply => return reply.map_err(|_| gone()),
+                read = self.stream.read_buf(&mut self.buffer), if reads => {
+                    // The end of what it sends is not yet its leaving: it may have closed one way only.
+                    self.ended = read? == 0;
+                }
+            }
+        }
+    }
+
+    async fn write(&mut self, reply: Reply, close: bool) -> io::Result<()> {
+        let mut out = BytesMut::with_capacity(128);
+        let body = match reply {
+            Reply::Served(body) => {
+                client::write_served(&mut out, body.len(), close);
+                body
+            }
+            Reply::Decided(Final::Refused { retry_after }) => {
+                client::write_refused(&mut out, retry_after, close);
+                Bytes::new()
+            }
+            Reply::Decided(Final::Failed) => {
+                client::write_failed(&mut out, close);
+                Bytes::new()
+            }
+        };
+        self.stream.write_all_buf(&mut out.chain(body)).await
+    }
+
+    /// An error and a close; what still arrives is dropped within a bound.
+    async fn turn_down(&mut self, bad: BadRequest) -> io::Result<()> {
+        let mut out = BytesMut::new();
+        client::write_error(&mut out, bad);
+        self.stream.write_all(&out).await?;
+        self.stream.shutdown().await?;
+        let drop_rest = async {
+            let (mut left, mut scrap) = (LINGER.0, [0; 4096]);
+            while left > 0 {
+                match self.stream.read(&mut scrap).await {
+                    Ok(1..) => left = left.saturating_sub(scrap.len()),
+                    _ => break,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(LINGER.1, drop_rest).await; // It is closed in either case.
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/hub.rs
@@ -0,0 +1,237 @@
+//! What the tasks share: the ledger, who waits for what, the pools; and the carrying out of outputs.
+
+use crate::alarm::Alarm;
+use crate::budget::Budget;
+use crate::worker;
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+use weirusher::{JobId, Load, ServerId, Status};
+use weirusher_clock::Clock;
+use weirusher_core::{Arrival, Ask, Final, Pool, Relay, RelayOutput, SeatId, Seats};
+use weirusher_platform::client::Names;
+use weirusher_platform::list::Told;
+use weirusher_platform::worker::Passed;
+
+/// Counter calls that may wait to be written; a further one is turned away at once.
+const MOST_CALLS: usize = 4096;
+
+/// Where a connection leads: a worker by name, at the address it has now.
+pub type Place = (ServerId, SocketAddr);
+
+/// What a client is answered.
+#[derive(Debug)]
+pub enum Reply {
+    Served(Bytes),
+    Decided(Final),
+}
+
+/// A client that waits for its answer.
+struct Waiting {
+    passed: Rc<Passed>,
+    answer: oneshot::Sender<Reply>,
+}
+
+/// A counter call on its way out.
+#[derive(Debug, Clone, Copy)]
+pub struct Call {
+    pub call: u64,
+    pub counter: u64,
+    pub amount: f64,
+    pub ttl: f64,
+}
+
+pub struct State {
+    pub relay: Relay,
+    waiting: HashMap<JobId, Waiting>,
+    attempts: HashMap<(JobId, u32), AbortHandle>,
+    pub pool: Pool<Place, TcpStream>,
+    addresses: HashMap<ServerId, SocketAddr>,
+    pub seats: Seats,
+    pub leavers: HashMap<SeatId, Rc<Notify>>,
+    pub calls: VecDeque<Call>,
+    outputs: Vec<RelayOutput>,
+    /// Bytes of requests' bodies that are held.
+    pub body_bytes: usize,
+}
+
+pub struct Hub {
+    pub clock: Clock,
+    pub names: Names,
+    pub budget: Budget,
+    pub connect_timeout: f64,
+    pub count_limit: f64,
+    pub state: RefCell<State>,
+    /// The ledger's timers.
+    pub timers: Alarm,
+    /// What is idle too long.
+    pub idlers: Alarm,
+    /// There are calls for the counter.
+    pub called: Notify,
+    /// A client's seat came free.
+    pub seat: Notify,
+    /// A list is held, and requests may be decided on.
+    pub ready: Cell<bool>,
+    /// No answer keeps its connection.
+    pub stopping: Cell<bool>,
+    /// Nothing is owed any more.
+    pub settled: Notify,
+}
+
+impl State {
+    pub fn new(relay: Relay, budget: &Budget, idle: f64) -> Self {
+        Self {
+            relay,
+            waiting: HashMap::new(),
+            attempts: HashMap::new(),
+            pool: Pool::new(budget.workers, idle),
+            addresses: HashMap::new(),
+            seats: Seats::new(budget.clients),
+            leavers: HashMap::new(),
+            calls: VecDeque::new(),
+            outputs: Vec::new(),
+            body_bytes: 0,
+        }
+    }
+}
+
+impl Hub {
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// A request came; its answer comes on the receiver. `None`: its id is open already.
+    pub fn request(self: &Rc<Self>, arrival: Arrival, passed: Passed) -> Option<oneshot::Receiver<Reply>> {
+        let (answer, reply) = oneshot::channel();
+        {
+            let state = &mut *self.state.borrow_mut();
+            if state.relay.knows(&arrival.job) {
+                return None;
+            }
+            state.waiting.insert(arrival.job.clone(), Waiting { passed: Rc::new(passed), answer });
+            state.relay.request(self.now(), arrival);
+        }
+        self.pump();
+        Some(reply)
+    }
+
+    /// The client of a request left.
+    pub fn left(self: &Rc<Self>, job: &JobId) {
+        {
+            let state = &mut *self.state.borrow_mut();
+            state.waiting.remove(job);
+            state.relay.left(self.now(), job);
+        }
+        self.pump();
+    }
+
+    /// An attempt ended.
+    pub fn ended(self: &Rc<Self>, job: &JobId, attempt: u32, status: Status, load: Load, body: Bytes) {
+        {
+            let state = &mut *self.state.borrow_mut();
+            state.attempts.remove(&(job.clone(), attempt));
+            if state.relay.ended(self.now(), job, attempt, status, load) {
+                state.reply(job, Reply::Served(body));
+            }
+        }
+        self.pump();
+    }
+
+    /// A counter call ended.
+    pub fn counted(self: &Rc<Self>, call: u64, status: Status, total: f64, spent: f64) {
+        self.state.borrow_mut().relay.counted(self.now(), call, status, total, spent);
+        self.pump();
+    }
+
+    /// A list came: connections to where a worker no longer is are dropped.
+    pub fn list(self: &Rc<Self>, told: Told) {
+        {
+            let state = &mut *self.state.borrow_mut();
+            if told.kind != weirusher::ListKind::Changes {
+                state.addresses.clear();
+            }
+            for worker in told.workers {
+                if worker.gone {
+                    state.addresses.remove(&worker.name);
+                } else {
+                    state.addresses.insert(worker.name, worker.address);
+                }
+            }
+            let now = self.now();
+            let addresses = &state.addresses;
+            state.pool.prune(now, |(name, address)| addresses.get(name) == Some(address));
+            state.relay.list(now, told.kind, told.servers);
+        }
+        self.ready.set(true);
+        self.pump();
+    }
+
+    /// Lets the ledger's timers come due.
+    pub fn advance(self: &Rc<Self>) {
+        self.state.borrow_mut().relay.advance(self.now());
+        self.pump();
+    }
+
+    /// Carries out what the ledger wants done.
+    fn pump(self: &Rc<Self>) {
+        let state = &mut *self.state.borrow_mut();
+        let mut outputs = std::mem::take(&mut state.outputs);
+        state.relay.take_outputs(&mut outputs);
+        let (mut called, mut turned_away) = (false, Vec::new());
+        for output in outputs.drain(..) {
+            match output {
+                RelayOutput::Send { job, attempt, server, timeout } => {
+                    self.begin(state, job, attempt, server, timeout);
+                }
+                RelayOutput::Abort { job, attempt } => {
+                    if let Some(task) = state.attempts.remove(&(job, attempt)) {
+                        task.abort();
+                    }
+                }
+                RelayOutput::Answer { job, verdict } => state.reply(&job, Reply::Decided(verdict)),
+                RelayOutput::Ask(Ask::Count { call, counter, amount, ttl }) => {
+                    if state.calls.len() < MOST_CALLS {
+                        state.calls.push_back(Call { call, counter, amount, ttl });
+                        called = true;
+                    } else {
+                        turned_away.push(call);
+                    }
+                }
+                RelayOutput::Ask(Ask::Watch) => {} // The list is watched from the start.
+                RelayOutput::Ask(Ask::Log(text)) => tracing::info!(%text, "module"),
+            }
+        }
+        state.outputs = outputs;
+        self.timers.set(state.relay.next_deadline());
+        if called {
+            self.called.notify_one();
+        }
+        if self.stopping.get() && state.relay.owed() == 0 {
+            self.settled.notify_one();
+        }
+        for call in turned_away {
+            state.relay.counted(self.now(), call, Status::Full, 0.0, 0.0);
+        }
+    }
+
+    fn begin(self: &Rc<Self>, state: &mut State, job: JobId, attempt: u32, server: ServerId, timeout: f64) {
+        let Some(passed) = state.waiting.get(&job).map(|w| w.passed.clone()) else { return };
+        let address = state.addresses.get(&server).copied();
+        let try_ = worker::Attempt { job: job.clone(), attempt, server, address, timeout, passed };
+        let task = tokio::task::spawn_local(worker::run(self.clone(), try_));
+        state.attempts.insert((job, attempt), task.abort_handle());
+    }
+}
+
+impl State {
+    fn reply(&mut self, job: &JobId, reply: Reply) {
+        if let Some(waiting) = self.waiting.remove(job) {
+            let _ = waiting.answer.send(reply); // Its client's connection broke just now.
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,221 @@
+//! Starts a gatekeeper's tasks, follows its signals, and stops in order.
+
+use crate::alarm::Alarm;
+use crate::budget::Budget;
+use crate::counter::{self, Moved};
+use crate::hub::{Hub, State};
+use crate::{client, discovery};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, spawn_local};
+use weirusher_clock::Clock;
+use weirusher_core::{EngineError, Relay};
+use weirusher_platform::client::Names;
+use weirusher_platform::config::{Config, ConfigError};
+
+/// Share of the idle limit after which a worker's connection is not used any more: a request must not cross
+/// its close.
+const IDLE_MARGIN: f64 = 0.8;
+/// After SIGTERM, new connections are taken for as long as they come within this of each other, at least the
+/// first time and at most the second.
+const LAST_ACCEPTS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(600));
+/// After SIGTERM, the longest wait for what is owed: clients' own limits end it sooner.
+const DRAIN: Duration = Duration::from_secs(60);
+
+/// Why a gatekeeper cannot start.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum StartError {
+    /// The configuration cannot be found.
+    #[error("{0}: {1}")]
+    Read(PathBuf, io::Error),
+    /// The configuration cannot be used.
+    #[error("{0}: {1}")]
+    Config(PathBuf, ConfigError),
+    /// Signals cannot be waited for.
+    #[error("signals: {0}")]
+    Signals(io::Error),
+    /// The address cannot be listened on.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, io::Error),
+    /// The decisions cannot start.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+}
+
+/// Signals, waited for from the start: one that comes early must neither end the process nor be lost.
+struct Signals {
+    reload: Signal,
+    stop: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            reload: signal(SignalKind::hangup())?,
+            stop: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
+fn read(file: &Path) -> Result<Config, StartError> {
+    let text = std::fs::read(file).map_err(|e| StartError::Read(file.to_path_buf(), e))?;
+    Config::parse(&text).map_err(|e| StartError::Config(file.to_path_buf(), e))
+}
+
+/// Runs the gatekeeper that the file configures until SIGTERM or SIGINT, and tells how many requests were
+/// still owed at the end. Must run inside a [`tokio::task::LocalSet`].
+///
+/// # Errors
+/// It cannot start.
+pub async fn run(file: &Path) -> Result<usize, StartError> {
+    let mut signals = Signals::new().map_err(StartError::Signals)?;
+    let config = read(file)?;
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = Rc::new(listener.map_err(|e| StartError::Listen(config.listen, e))?);
+    let hub = hub(&config)?;
+    let mut world = World::new(hub.clone(), &config);
+    if let Some(known) = config.known.clone() {
+        hub.list(known);
+    }
+    spawn_local(timers(hub.clone()));
+    spawn_local(idlers(hub.clone()));
+    let accepting = spawn_local(client::listen(hub.clone(), listener.clone())).abort_handle();
+    tracing::info!(name = config.name, listen = %config.listen, ?hub.budget, "serving");
+    loop {
+        tokio::select! {
+            _ = signals.reload.recv() => match read(file) {
+                Ok(config) => world.follow(&config),
+                Err(error) => tracing::warn!(%error, "the configuration stays as it was"),
+            },
+            _ = signals.stop.recv() => break,
+            _ = signals.interrupt.recv() => break,
+        }
+    }
+    Ok(stop(&hub, &accepting, listener).await)
+}
+
+fn hub(config: &Config) -> Result<Rc<Hub>, StartError> {
+    let (clock, budget, site) = (Clock::start(), Budget::new(&config.limits), &config.site);
+    let relay = Relay::new(site.settings.clone(), config.seed, clock.now())?;
+    Ok(Rc::new(Hub {
+        clock,
+        names: Names::new(site),
+        budget,
+        connect_timeout: site.connect_timeout,
+        count_limit: site.settings.count_limit,
+        state: RefCell::new(State::new(relay, &budget, IDLE_MARGIN * site.conn_idle)),
+        timers: Alarm::default(),
+        idlers: Alarm::default(),
+        called: Notify::new(),
+        seat: Notify::new(),
+        ready: Cell::new(false),
+        stopping: Cell::new(false),
+        settled: Notify::new(),
+    }))
+}
+
+/// Where counter and discovery are, and who talks to them.
+struct World {
+    hub: Rc<Hub>,
+    seed: u64,
+    discovery: SocketAddr,
+    watch: AbortHandle,
+    counter: Option<(SocketAddr, Rc<Moved>)>,
+}
+
+impl World {
+    fn new(hub: Rc<Hub>, config: &Config) -> Self {
+        let watch = Self::watch(&hub, config);
+        let mut world = Self { hub, seed: config.seed, discovery: config.discovery, watch, counter: None };
+        world.call(config.counter);
+        world
+    }
+
+    fn watch(hub: &Rc<Hub>, config: &Config) -> AbortHandle {
+        let zones = config.site.zones.clone();
+        spawn_local(discovery::run(hub.clone(), config.discovery, zones, config.seed)).abort_handle()
+    }
+
+    fn call(&mut self, address: Option<SocketAddr>) {
+        if let Some((_, moved)) = self.counter.take() {
+            moved.set();
+        }
+        let Some(address) = address else { return };
+        let moved = Rc::new(Moved::default());
+        spawn_local(counter::run(self.hub.clone(), address, self.seed, moved.clone()));
+        self.counter = Some((address, moved));
+    }
+
+    /// Moves to the addresses of a new configuration.
+    fn follow(&mut self, config: &Config) {
+        tracing::info!(discovery = %config.discovery, counter = ?config.counter, "the configuration was read anew");
+        if config.counter != self.counter.as_ref().map(|(address, _)| *address) {
+            self.call(config.counter);
+        }
+        if config.discovery != self.discovery {
+            self.discovery = config.discovery;
+            self.watch.abort();
+            self.watch = Self::watch(&self.hub, config);
+        }
+    }
+}
+
+/// The ledger's timers.
+async fn timers(hub: Rc<Hub>) {
+    loop {
+        let due = hub.state.borrow().relay.next_deadline();
+        hub.timers.ring(&hub.clock, due).await;
+        hub.advance();
+    }
+}
+
+/// Connections that are idle for too long.
+async fn idlers(hub: Rc<Hub>) {
+    loop {
+        let due = {
+            let state = hub.state.borrow();
+            state.pool.next_prune().into_iter().chain(state.seats.next_overdue()).reduce(f64::min)
+        };
+        hub.idlers.ring(&hub.clock, due).await;
+        let state = &mut *hub.state.borrow_mut();
+        let now = hub.now();
+        state.pool.prune(now, |_| true); // What comes back is dropped.
+        for id in state.seats.overdue(now) {
+            state.leavers.get(&id).into_iter().for_each(|leave| leave.notify_one());
+        }
+    }
+}
+
+/// Answers what was taken, takes what still comes for a while, and closes what is idle.
+async fn stop(hub: &Rc<Hub>, accepting: &AbortHandle, listener: Rc<TcpListener>) -> usize {
+    hub.stopping.set(true);
+    tracing::info!(owed = hub.state.borrow().relay.owed(), "stopping");
+    {
+        let state = &mut *hub.state.borrow_mut();
+        for id in state.seats.unused() {
+            state.leavers.get(&id).into_iter().for_each(|leave| leave.notify_one());
+        }
+    }
+    tokio::time::sleep(LAST_ACCEPTS.0).await;
+    accepting.abort();
+    drop(listener);
+    let settled = async {
+        while hub.state.borrow().relay.owed() > 0 || !hub.state.borrow().seats.is_empty() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = tokio::time::timeout(DRAIN, settled).await; // What is still owed is told below.
+    let state = hub.state.borrow();
+    tracing::info!(tally = ?state.relay.tally(), "stopped");
+    state.relay.owed()
+}
--- /dev/null
+++ b/crates/node/src/worker.rs
@@ -0,0 +1,159 @@
+//! One attempt over one connection of its own, which goes back to the pool only when nothing is left on it.
+
+use crate::hub::{Hub, Place};
+use bytes::{Bytes, BytesMut};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use weirusher::{JobId, Load, ServerId, Status};
+use weirusher_core::Room;
+use weirusher_platform::response::{Response, ResponseReader};
+use weirusher_platform::worker::{MOST_ANSWER, Passed, load, outcome};
+
+/// Bytes read at once, to begin with: an answer's head and a short body.
+const FIRST_READ: usize = 2048;
+
+/// An attempt to be made.
+pub struct Attempt {
+    pub job: JobId,
+    pub attempt: u32,
+    pub server: ServerId,
+    pub address: Option<SocketAddr>,
+    pub timeout: f64,
+    pub passed: Rc<Passed>,
+}
+
+/// A connection in use; dropped, it is closed and counted so.
+struct Lease {
+    hub: Rc<Hub>,
+    stream: Option<TcpStream>,
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.stream.take().is_some() {
+            self.hub.state.borrow_mut().pool.closed();
+        }
+    }
+}
+
+impl Lease {
+    fn keep(mut self, place: Place) {
+        let Some(stream) = self.stream.take() else { return };
+        let state = &mut *self.hub.state.borrow_mut();
+        state.pool.put(self.hub.now(), place, stream); // What comes back is dropped.
+        self.hub.idlers.set(state.pool.next_prune());
+    }
+}
+
+/// Makes the attempt and tells its end.
+pub async fn run(hub: Rc<Hub>, attempt: Attempt) {
+    let (status, load, body) = match attempt.address {
+        None => (Status::Moot, Load::default(), Bytes::new()),
+        Some(address) => exchange(&hub, &attempt, (attempt.server.clone(), address)).await,
+    };
+    hub.ended(&attempt.job, attempt.attempt, status, load, body);
+}
+
+async fn exchange(hub: &Rc<Hub>, attempt: &Attempt, place: Place) -> (Status, Load, Bytes) {
+    let nothing = |status| (status, Load::default(), Bytes::new());
+    let began = hub.now();
+    let mut lease = match connection(hub, &place).await {
+        Ok(lease) => lease,
+        Err(status) => return nothing(status),
+    };
+    let Some(stream) = lease.stream.as_mut() else { return nothing(Status::Moot) };
+    let mut buffer = BytesMut::with_capacity(FIRST_READ);
+    attempt.passed.write_head(&mut buffer, attempt.timeout - (hub.now() - began));
+    if write(stream, &mut buffer, attempt.passed.body()).await.is_err() {
+        return nothing(Status::ConnectFailed);
+    }
+    buffer.clear();
+    match read(stream, &mut buffer).await {
+        Ok(Some(response)) => {
+            let report = response.report.as_deref().map(load).unwrap_or_default();
+            if !response.closes && buffer.is_empty() {
+                lease.keep(place);
+            }
+            (outcome(&response), report, response.body)
+        }
+        // Broken off, or spoilt: it may have run.
+        Ok(None) => nothing(Status::Reset),
+        Err(_) => nothing(Status::Reset),
+    }
+}
+
+/// A connection that is surely empty, from the pool, or a new one.
+async fn connection(hub: &Rc<Hub>, place: &Place) -> Result<Lease, Status> {
+    loop {
+        let pooled = hub.state.borrow_mut().pool.take(hub.now(), place);
+        let Some(stream) = pooled else { break };
+        let lease = Lease { hub: hub.clone(), stream: Some(stream) };
+        // Anything to be read, an end included, is no answer of ours.
+        if lease.stream.as_ref().is_some_and(quiet) {
+            return Ok(lease);
+        }
+    }
+    let room = hub.state.borrow_mut().pool.opening();
+    if room_is_full(room) {
+        return Err(Status::Moot);
+    }
+    let mut opening = Opening { hub: hub.clone(), counted: true };
+    let limit = Duration::from_secs_f64(hub.connect_timeout);
+    let connected = tokio::time::timeout(limit, TcpStream::connect(place.1)).await;
+    let Ok(Ok(stream)) = connected else { return Err(Status::ConnectFailed) };
+    let _ = stream.set_nodelay(true); // Without it attempts are merely slower.
+    opening.counted = false;
+    Ok(Lease { hub: hub.clone(), stream: Some(stream) })
+}
+
+fn room_is_full(room: Room<TcpStream>) -> bool {
+    match room {
+        Room::Free => false,
+        Room::Instead(_dropped) => false,
+        Room::Full => true,
+    }
+}
+
+/// A connection that is being made counts as open until it fails.
+struct Opening {
+    hub: Rc<Hub>,
+    counted: bool,
+}
+
+impl Drop for Opening {
+    fn drop(&mut self) {
+        if self.counted {
+            self.hub.state.borrow_mut().pool.closed();
+        }
+    }
+}
+
+/// Whether nothing at all is to be read from a connection, its end included.
+fn quiet(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0; 1]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+}
+
+async fn write(stream: &mut TcpStream, head: &mut BytesMut, body: Bytes) -> io::Result<()> {
+    if body.is_empty() {
+        return stream.write_all(head).await;
+    }
+    stream.write_all_buf(&mut bytes::Buf::chain(&head[..], body)).await
+}
+
+/// The answer, whole; `None`: the connection ended before.
+async fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<Option<Response>> {
+    let mut reader = ResponseReader::new(MOST_ANSWER);
+    loop {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+        let read = reader.read(buffer).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+        if read.is_some() {
+            return Ok(read);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/config.rs
@@ -0,0 +1,95 @@
+//! The configuration that a gatekeeper finds on the platform.
+
+use crate::list::{BadList, Listing, Told};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use weirusher::{ListKind, Site, SiteError};
+
+/// The file's form.
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: Value,
+    limits: Limits,
+    counter: Option<SocketAddr>,
+    known: Option<Listing>,
+    settings: Value,
+}
+
+/// What the processes of a gatekeeper may use.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+pub struct Limits {
+    /// Share of a core.
+    pub cores: f64,
+    /// Megabytes.
+    pub memory_mb: f64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+/// A gatekeeper's configuration.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Where the counter is, if there is one.
+    pub counter: Option<SocketAddr>,
+    /// For random numbers; new with each start.
+    pub seed: u64,
+    /// What it may use.
+    pub limits: Limits,
+    /// The list as this gatekeeper last had it.
+    pub known: Option<Told>,
+    /// What it decides by.
+    pub site: Site,
+}
+
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// It is no such file.
+    #[error("it cannot be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    /// Its settings cannot be used.
+    #[error(transparent)]
+    Settings(#[from] SiteError),
+    /// Its list cannot be used.
+    #[error("known: {0}")]
+    Known(#[from] BadList),
+    /// Its seed is no number.
+    #[error("seed: neither a number nor hex digits")]
+    Seed,
+}
+
+fn seed(value: &Value) -> Option<u64> {
+    value.as_u64().or_else(|| u64::from_str_radix(value.as_str()?.trim_start_matches("0x"), 16).ok())
+}
+
+impl Config {
+    /// Reads the file's text.
+    ///
+    /// # Errors
+    /// What of it cannot be used.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_slice(text)?;
+        let site = Site::read(&file.settings)?;
+        let known = file.known.map(|list| list.told(&site.zones, ListKind::Stale)).transpose()?;
+        Ok(Self {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            counter: file.counter,
+            seed: seed(&file.seed).ok_or(ConfigError::Seed)?,
+            limits: file.limits,
+            known,
+            site,
+        })
+    }
+}
--- a/crates/wire/src/http1.rs
+++ b/crates/wire/src/http1.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 with bodies of a stated length, parsed by httparse.
 
+use crate::head::{self, Fields, HeadSearch, NO_HEADERS};
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -46,28 +47,13 @@
         self.0.push((name.to_string(), value.to_string()));
     }
 
-    fn parse(parsed: &[httparse::Header<'_>]) -> Result<Self, HttpError> {
-        let header = |h: &httparse::Header<'_>| {
-            let value = std::str::from_utf8(h.value)
-                .map_err(|_| HttpError::Malformed("a header is no text".into()))?;
-            Ok((h.name.to_ascii_lowercase(), value.to_string()))
+    fn parse(fields: Fields<'_, '_>) -> Result<Self, HttpError> {
+        let header = |(name, value): (&str, &[u8])| {
+            let value =
+                std::str::from_utf8(value).map_err(|_| HttpError::Malformed("a header is no text".into()))?;
+            Ok((name.to_ascii_lowercase(), value.to_string()))
         };
-        parsed.iter().map(header).collect::<Result<_, _>>().map(Self)
-    }
-
-    /// The body's length. Two lengths, or a length and an encoding, are how requests are smuggled.
-    fn body_length(&self) -> Result<usize, HttpError> {
-        let mut lengths = self.0.iter().filter(|(n, _)| n == "content-length").map(|(_, v)| v);
-        let length = lengths.next();
-        if lengths.next().is_some() || self.get("transfer-encoding").is_some() {
-            return Err(HttpError::Length);
-        }
-        let Some(length) = length else { return Ok(0) };
-        if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) {
-            return Err(HttpError::Length);
-        }
-        let length = length.parse().map_err(|_| HttpError::BodyTooLarge)?;
-        if length > MOST_BODY { Err(HttpError::BodyTooLarge) } else { Ok(length) }
+        fields.all().map(header).collect::<Result<_, _>>().map(Self)
     }
 
     fn write(&self, dst: &mut BytesMut, body: usize) {
@@ -115,12 +101,12 @@
 #[derive(Debug)]
 struct Reader<M> {
     head: Option<(M, usize)>,
-    searched: usize,
+    search: HeadSearch,
 }
 
 impl<M> Default for Reader<M> {
     fn default() -> Self {
-        Self { head: None, searched: 0 }
+        Self { head: None, search: HeadSearch::default() }
     }
 }
 
@@ -131,18 +117,8 @@
         parse: impl FnOnce(&[u8]) -> Result<(M, usize), HttpError>,
     ) -> Result<Option<(M, Bytes)>, HttpError> {
         if self.head.is_none() {
-            // Only what is new is searched: a byte a second must not cost a parse of the whole each time.
-            let from = self.searched.saturating_sub(3);
-            let Some(end) = src[from..].windows(4).position(|w| w == b"\r\n\r\n").map(|at| from + at + 4)
-            else {
-                self.searched = src.len();
-                return if src.len() > MOST_HEAD { Err(HttpError::HeadTooLarge) } else { Ok(None) };
-            };
-            if end > MOST_HEAD {
-                return Err(HttpError::HeadTooLarge);
-            }
+            let Some(end) = self.search.end(src)? else { return Ok(None) };
             let head = src.split_to(end);
-            self.searched = 0;
             self.head = Some(parse(&head)?);
         }
         let length = self.head.as_ref().map_or(0, |(_, length)| *length);
@@ -155,14 +131,6 @@
     }
 }
 
-fn malformed(error: httparse::Error) -> HttpError {
-    if error == httparse::Error::TooManyHeaders {
-        HttpError::HeadTooLarge
-    } else {
-        HttpError::Malformed(error.to_string())
-    }
-}
-
 /// The server's side: requests in, responses out.
 #[derive(Debug, Default)]
 pub struct ServerCodec(Reader<Request>);
@@ -173,13 +141,11 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Request>, HttpError> {
         let read = self.0.read(src, |head| {
-            let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-            let mut parsed = httparse::Request::new(&mut headers);
-            parsed.parse(head).map_err(malformed)?;
-            let headers = Headers::parse(parsed.headers)?;
-            let length = headers.body_length()?;
-            let (method, path) =
-                (parsed.method.unwrap_or("").to_string(), parsed.path.unwrap_or("").to_string());
+            let mut slots = NO_HEADERS;
+            let parsed = head::request(head, &mut slots)?;
+            let length = parsed.fields.length(MOST_BODY)?.unwrap_or(0);
+            let (method, path) = (parsed.method.to_string(), parsed.target.to_string());
+            let headers = Headers::parse(parsed.fields)?;
             Ok((Request { method, path, headers, body: Bytes::new() }, length))
         })?;
         Ok(read.map(|(request, body)| Request { body, ..request }))
@@ -207,12 +173,11 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
         let read = self.0.read(src, |head| {
-            let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-            let mut parsed = httparse::Response::new(&mut headers);
-            parsed.parse(head).map_err(malformed)?;
-            let headers = Headers::parse(parsed.headers)?;
-            let length = headers.body_length()?;
-            Ok((Response { status: parsed.code.unwrap_or(0), headers, body: Bytes::new() }, length))
+            let mut slots = NO_HEADERS;
+            let parsed = head::response(head, &mut slots)?;
+            let length = parsed.fields.length(MOST_BODY)?.unwrap_or(0);
+            let headers = Headers::parse(parsed.fields)?;
+            Ok((Response { status: parsed.status, headers, body: Bytes::new() }, length))
         })?;
         Ok(read.map(|(response, body)| Response { body, ..response }))
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,5 +6,6 @@
 #![warn(missing_docs)]
 
 pub mod eds;
+pub mod head;
 pub mod http1;
 pub mod resp;
--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -85,92 +85,6 @@
     items.iter().map(entry).collect()
 }
 
-/// A settings object, read by key; unknown keys are ignored.
-struct Keys<'a>(&'a Value);
-
-impl<'a> Keys<'a> {
-    fn sub(&self, key: &str) -> Keys<'a> {
-        Keys(self.0.get(key).unwrap_or(&Value::Null))
-    }
-    fn list(&self, key: &str) -> &'a [Value] {
-        self.0.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-    }
-    fn num(&self, key: &str, default: f64) -> Fallible<f64> {
-        match self.0.get(key) {
-            None | Some(Value::Null) => Ok(default),
-            Some(v) => v.as_f64().ok_or_else(|| format!("Options.{key} is not a number")),
-        }
-    }
-    fn flag(&self, key: &str) -> bool {
-        self.0.get(key).and_then(Value::as_bool).unwrap_or(false)
-    }
-    fn text(&self, key: &str) -> &'a str {
-        self.0.get(key).and_then(Value::as_str).unwrap_or("")
-    }
-}
-
-fn class(value: &Value) -> Fallible<Class> {
-    let keys = Keys(value);
-    let mut class = Class::default();
-    class.aim = keys.num("Slo", class.aim)?;
-    class.late_worth = keys.num("LateWorth", 0.0)?;
-    class.streamed = keys.flag("Streamed");
-    let group = match keys.text("Group") {
-        "zone" => Group::Zone,
-        "cell" => Group::Cell,
-        _ => Group::All,
-    };
-    class.effect = match keys.text("Effect") {
-        "idempotent" => Effect::Safe,
-        "deduplicated" => Effect::Keyed { group, window: keys.num("Window", 0.0)? },
-        "at_most_once" => Effect::Unsafe,
-        _ => return Err("Options.Classes.Effect is unknown".into()),
-    };
-    Ok(class)
-}
-
-fn plan(value: &Value) -> Fallible<Plan> {
-    let keys = Keys(value);
-    let mut plan = Plan::default();
-    plan.rate = keys.num("QuotaRate", 0.0)?;
-    plan.burst = keys.num("Depth", 0.0)?;
-    plan.open = keys.num("Open", 0.0)? as u32;
-    plan.pays = keys.num("Pays", 1.0)?;
-    plan.excess_worth = keys.num("ExcessWorth", 0.0)?;
-    plan.overrun_cost = keys.num("OverrunCost", 0.0)?;
-    plan.ceiling_rate = keys.num("CeilingRate", 0.0)?;
-    plan.ceiling_burst = keys.num("CeilingBurst", 0.0)?;
-    Ok(plan)
-}
-
-fn settings(value: &Value) -> Fallible<Settings> {
-    let (keys, mut s) = (Keys(value), Settings::default());
-    let (limits, domain, rules) = (keys.sub("Limits"), keys.sub("Domain"), keys.sub("Rules"));
-    s.me = keys.num("Me", 0.0)? as u32;
-    s.gateways = keys.num("PeersTotal", 1.0)? as u32;
-    s.zone = keys.num("Locality", 0.0)? as u32;
-    s.step = keys.num("Step", s.step)?;
-    s.classes = keys.list("Classes").iter().map(class).collect::<Fallible<_>>()?;
-    s.plans = keys.list("Plans").iter().map(plan).collect::<Fallible<_>>()?;
-    s.must_ask = keys.text("Discovery") == "ask";
-    s.has_counter = domain.flag("HasCounter");
-    s.count_limit = domain.num("CountLimit", s.count_limit)?;
-    s.max_units = domain.num("MaxUnits", s.max_units)?;
-    s.post_paid = domain.flag("PostPaid");
-    s.may_probe = limits.flag("MayProbe");
-    s.may_cancel = limits.flag("Cancelling");
-    s.second_copies = limits.flag("SecondCopies");
-    s.max_attempts = limits.num("SendCap", 1.0)? as u32;
-    s.max_open = limits.num("OpenCap", f64::from(u32::MAX))? as u32;
-    s.retry_after = limits.flag("RetryAfter");
-    s.max_retry_after = limits.num("MaxRetryAfter", s.max_retry_after)?;
-    s.cold_from = rules.num("ColdFrom", s.cold_from)?;
-    s.cold = rules.num("Cold", s.cold)?;
-    s.fall_multiple = rules.num("FallMultiple", s.fall_multiple)?;
-    s.fall = rules.num("Fall", s.fall)?;
-    Ok(s)
-}
-
 fn event(name: &str, values: &[Value], pages: &BTreeMap<u64, Vec<Server>>) -> Fallible<Option<Event>> {
     let row = |label| Row(values, label);
     Ok(Some(match name {
@@ -265,7 +179,7 @@
         match name.as_str().ok_or("an event's name is not a string")? {
             "NEW_INSTANCE" => {
                 let row = Row(values, "NEW_INSTANCE");
-                let settings = settings(row.at(1, "Options")?)?;
+                let settings = Site::read(row.at(1, "Options")?).map_err(|e| e.to_string())?.settings;
                 let gateway = Gateway::new(settings, row.int(0, "Nonce64")?)
                     .map_err(|e| format!("NEW_INSTANCE.Options: {e}"))?;
                 self.gateways.insert(id, gateway);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod interface;
 mod logic;
+mod site;
 
 pub use interface::*;
 pub use logic::Gateway;
+pub use site::{Site, SiteError};
