Counter calls on a few lines: an answer that never ends holds up its own line only

Checked: with one connection an unreadable answer whose head does not end kept all calls behind it waiting for ten call limits; the module took that for a quiet counter and decided by shares for seconds. Ruled out: CPU (0.02 s in the worst second), descriptors, workers' spoilt answers (169 in 7,400 requests). At fault: node::counter, one Pipeline for all calls.

Change: core::Lines, up to six pipelines; calls of one name stay in order on one, others go where the fewest are out, never behind a late call while there is another way. Seats clear an eighth at once when none is free.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -90,6 +90,137 @@
     }
 }
 
+/// Connections to the counter that calls go over, at most: an answer that never ends holds up the calls behind
+/// it on its own connection only.
+const LINES: usize = 6;
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// On this line, which is open or on its way.
+    On(usize),
+    /// On this line, which must be opened first.
+    Open(usize),
+    /// Nowhere: no line may be opened yet, or all are full.
+    Nowhere,
+}
+
+#[derive(Debug)]
+struct Line {
+    /// Open, or being opened.
+    open: bool,
+    answered: bool,
+    pipeline: Pipeline<(u64, u64)>,
+}
+
+/// A few pipelined connections to one counter: which one a call goes on, and when another may be opened.
+///
+/// Calls for one name stay in order: while one is out, the next follows it on its line. Otherwise a call goes
+/// where the fewest are out, and never behind one that is late while there is another way.
+#[derive(Debug)]
+pub struct Lines {
+    limit: f64,
+    lines: Vec<Line>,
+    /// By name with calls out: their line, and how many.
+    names: HashMap<u64, (usize, u32)>,
+    backoff: Backoff,
+    not_before: Time,
+}
+
+impl Lines {
+    /// No line is open; a call is given up after `limit` seconds.
+    pub fn new(limit: f64, seed: u64) -> Self {
+        let line = |_| Line { open: false, answered: false, pipeline: Pipeline::new(limit) };
+        let (lines, backoff) = ((0..LINES).map(line).collect(), Backoff::new(seed));
+        Self { limit, lines, names: HashMap::new(), backoff, not_before: 0.0 }
+    }
+
+    /// Sends a call for `name` on its way, and tells which.
+    pub fn send(&mut self, now: Time, call: u64, name: u64) -> Route {
+        let Some((line, opens)) = self.choose(now, name) else { return Route::Nowhere };
+        if self.lines[line].pipeline.send(now, (call, name)).is_err() {
+            return Route::Nowhere;
+        }
+        if opens {
+            self.lines[line].open = true;
+        }
+        self.names.entry(name).or_insert((line, 0)).1 += 1;
+        if opens { Route::Open(line) } else { Route::On(line) }
+    }
+
+    fn choose(&self, now: Time, name: u64) -> Option<(usize, bool)> {
+        if let Some((line, _)) = self.names.get(&name) {
+            return Some((*line, false));
+        }
+        let load = |at: &usize| {
+            let pipeline = &self.lines[*at].pipeline;
+            (pipeline.given_up > 0, pipeline.pending.len())
+        };
+        let best = (0..LINES).filter(|at| self.lines[*at].open).min_by_key(load);
+        if best.is_some_and(|at| load(&at) == (false, 0)) {
+            return best.map(|at| (at, false));
+        }
+        let closed = self.lines.iter().position(|line| !line.open).filter(|_| now >= self.not_before);
+        closed.map(|at| (at, true)).or(best.map(|at| (at, false)))
+    }
+
+    /// The next answer has come on a line: its call and the seconds it took, unless that was given up.
+    ///
+    /// # Errors
+    /// Nothing was asked: the line must be dropped.
+    pub fn answered(&mut self, now: Time, line: usize) -> Result<Option<(u64, f64)>, Unasked> {
+        let answered = self.lines[line].pipeline.answered(now)?;
+        self.lines[line].answered = true;
+        self.backoff.reset();
+        Ok(answered.map(|((call, name), spent)| {
+            self.ended(name);
+            (call, spent)
+        }))
+    }
+
+    /// The calls of a line that have waited past the limit.
+    pub fn give_up(&mut self, now: Time, line: usize) -> Vec<(u64, f64)> {
+        let late = self.lines[line].pipeline.give_up(now);
+        self.all_ended(late)
+    }
+
+    /// When [`Lines::give_up`] or [`Lines::dead`] has something to say of a line.
+    pub fn deadline(&self, line: usize) -> Option<Time> {
+        self.lines[line].pipeline.deadline()
+    }
+
+    /// The line answers nothing any more: it should be dropped.
+    pub fn dead(&self, now: Time, line: usize) -> bool {
+        self.lines[line].pipeline.dead(now)
+    }
+
+    /// A line is closed: the calls that still waited on it. One that never answered counts as a failure, after
+    /// which none is opened for a while.
+    pub fn closed(&mut self, now: Time, line: usize) -> Vec<(u64, f64)> {
+        let closed = &mut self.lines[line];
+        closed.open = false;
+        if !std::mem::take(&mut closed.answered) {
+            self.not_before = now + self.backoff.pause();
+        }
+        let left = closed.pipeline.broken(now);
+        closed.pipeline = Pipeline::new(self.limit);
+        self.all_ended(left)
+    }
+
+    fn all_ended(&mut self, calls: Vec<((u64, u64), f64)>) -> Vec<(u64, f64)> {
+        calls.iter().for_each(|((_, name), _)| self.ended(*name));
+        calls.into_iter().map(|((call, _), spent)| (call, spent)).collect()
+    }
+
+    fn ended(&mut self, name: u64) {
+        let Some(out) = self.names.get_mut(&name) else { return };
+        out.1 -= 1;
+        if out.1 == 0 {
+            self.names.remove(&name);
+        }
+    }
+}
+
 /// How a call ended: its status, the total, the seconds it took.
 pub type CallEnd = (Status, f64, f64);
 
@@ -203,6 +334,36 @@
         assert_eq!(calls.send(0.0, 7), Err(7));
     }
 
+    #[test]
+    fn an_answer_that_never_ends_holds_up_its_own_line_only() {
+        let mut lines = Lines::new(0.05, 1);
+        assert_eq!(lines.send(0.0, 1, 11), Route::Open(0));
+        // The same name stays in order; another goes its own way.
+        assert_eq!(lines.send(0.0, 2, 11), Route::On(0));
+        assert_eq!(lines.send(0.0, 3, 12), Route::Open(1));
+        assert_eq!(lines.answered(0.01, 1), Ok(Some((3, 0.01))));
+        assert_eq!(lines.give_up(0.06, 0).len(), 2);
+        for call in 4..20 {
+            assert_eq!(lines.send(0.06, call, call), Route::On(1), "never behind a late one");
+            assert!(lines.answered(0.061, 1).unwrap().is_some());
+        }
+        assert!(lines.dead(0.5, 0) && lines.closed(0.5, 0).is_empty());
+        assert!(lines.names.is_empty());
+    }
+
+    #[test]
+    fn a_counter_that_cannot_be_reached_is_tried_at_growing_pauses() {
+        let mut lines = Lines::new(0.05, 1);
+        assert_eq!(lines.send(0.0, 1, 1), Route::Open(0));
+        assert_eq!(lines.closed(0.0, 0), [(1, 0.0)]);
+        assert_eq!(lines.send(0.0, 2, 2), Route::Nowhere);
+        assert_eq!(lines.send(PAUSE.0, 2, 2), Route::Open(0));
+        // One that answered before it closed is opened again at once.
+        assert!(lines.answered(PAUSE.0, 0).is_ok());
+        assert!(lines.closed(PAUSE.0, 0).is_empty());
+        assert_eq!(lines.send(PAUSE.0, 3, 3), Route::Open(0));
+    }
+
     #[test]
     fn pauses_grow_to_a_bound_and_differ_between_instances() {
         let (mut a, mut b) = (Backoff::new(1), Backoff::new(2));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,7 +18,7 @@
 mod ticket;
 mod wheel;
 
-pub use calls::{Backoff, CallEnd, CallOrder, GIVE_UP_CONNECTION, Pipeline, Unasked};
+pub use calls::{Backoff, CallEnd, CallOrder, GIVE_UP_CONNECTION, Lines, Pipeline, Route, Unasked};
 pub use clock::Anchor;
 pub use engine::{
     Allowed, Answer, Caller, Check, Delivery, Ending, Engine, EngineError, Failure, Output, Report, Tally,
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -10,6 +10,8 @@
 /// Seconds after which a connection with no open request may give way, and after which it is let go.
 const IDLE_GRACE: f64 = 2.0;
 const IDLE_MOST: f64 = 20.0;
+/// The part of all seats that is cleared at once when none is free.
+const GIVE_WAY: usize = 8;
 
 /// Names a connection.
 pub type SeatId = u64;
@@ -82,8 +84,8 @@
         }
     }
 
-    /// The connections to let go: those that have overstayed, and where all seats are taken the one that was
-    /// of no use for longest. They stay seated until they leave, and are not named again.
+    /// The connections to let go: those that have overstayed, and where all seats are taken those that
+    /// were of no use for longest. They stay seated until they leave, and are not named again.
     pub fn overdue(&mut self, now: Time) -> Vec<SeatId> {
         let mut gone = Vec::new();
         for (kind, most) in [(Use::Fresh, FIRST_REQUEST), (Use::Idle, IDLE_MOST)] {
@@ -91,9 +93,11 @@
                 gone.push(id);
             }
         }
-        if gone.is_empty() && !self.free() {
+        // Several at once: where hundreds wait that say nothing, those that ask must not wait behind each.
+        while !self.free() && gone.len() < self.most.div_ceil(GIVE_WAY) {
             let fresh = self.longest(Use::Fresh, now - FRESH_GRACE);
-            gone.extend(fresh.or_else(|| self.longest(Use::Idle, now - IDLE_GRACE)));
+            let Some(id) = fresh.or_else(|| self.longest(Use::Idle, now - IDLE_GRACE)) else { break };
+            gone.push(id);
         }
         gone
     }
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -1,8 +1,9 @@
-//! The counter, over one pipelined connection to each address it has.
+//! The counter, over a few pipelined connections to each address it has.
 
 use crate::hub::{Call, Hub};
 use bytes::BytesMut;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,172 +11,180 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use weirusher::Status;
-use weirusher_core::{Backoff, GIVE_UP_CONNECTION, Pipeline};
+use weirusher_core::{Lines, Route};
 use weirusher_platform::counter::{MOST_ANSWER, outcome, write_call};
 use weirusher_platform::response::ResponseReader;
 
-/// Most bytes that wait to be written; past that, calls are turned away: the counter reads too slowly.
+/// Most bytes that wait to be written on a line; past that, calls are turned away: the counter reads too slowly.
 const MOST_UNWRITTEN: usize = 64 * 1024;
+/// Limits of a call that a new connection may take.
+const CONNECT: f64 = 5.0;
 
-/// Tells a client of the counter that the counter has moved.
-#[derive(Debug, Default)]
-pub struct Moved {
-    set: Cell<bool>,
+/// One address of the counter.
+pub struct Counter {
+    hub: Rc<Hub>,
+    address: SocketAddr,
+    lines: RefCell<Lines>,
+    wires: RefCell<Vec<Rc<Wire>>>,
+    moved: Cell<bool>,
     told: Notify,
 }
 
-impl Moved {
-    pub fn set(&self) {
-        self.set.set(true);
+/// What waits to be written on a line.
+#[derive(Default)]
+struct Wire {
+    unwritten: RefCell<BytesMut>,
+    wake: Notify,
+}
+
+impl Counter {
+    pub fn new(hub: Rc<Hub>, address: SocketAddr, seed: u64) -> Rc<Self> {
+        let lines = RefCell::new(Lines::new(hub.count_limit, seed));
+        let (wires, moved, told) = (RefCell::default(), Cell::new(false), Notify::new());
+        Rc::new(Self { hub, address, lines, wires, moved, told })
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The counter is elsewhere now: no call is taken any more, and what is out is waited for.
+    pub fn moved(&self) {
+        self.moved.set(true);
         self.told.notify_one();
+        self.wires.borrow().iter().for_each(|wire| wire.wake.notify_one());
     }
-}
 
-/// Calls the counter at `address` until it has moved and has answered what was out.
-pub async fn run(hub: Rc<Hub>, address: SocketAddr, seed: u64, moved: Rc<Moved>) {
-    let mut backoff = Backoff::new(seed);
-    let limit = Duration::from_secs_f64(hub.count_limit * GIVE_UP_CONNECTION);
-    while !moved.set.get() {
-        let connected = tokio::select! {
-            connected = tokio::time::timeout(limit, TcpStream::connect(address)) => connected.ok().and_then(Result::ok),
-            () = turn_away(&hub) => None,
-            () = moved.told.notified() => return,
-        };
-        if let Some(stream) = connected {
-            let mut line = Line::new(&hub);
-            // One that answered is no failure; one that closes at once must not be hammered.
-            if line.serve(stream, &moved).await {
-                backoff.reset();
+    /// Takes calls until the counter has moved.
+    pub async fn run(self: Rc<Self>) {
+        while !self.moved.get() {
+            let calls = std::mem::take(&mut self.hub.state.borrow_mut().calls);
+            for call in calls {
+                self.send(call);
             }
-            for (call, spent) in line.pipeline.broken(hub.now()) {
-                hub.counted(call, Status::Reset, 0.0, spent);
+            tokio::select! {
+                () = self.hub.called.notified() => {}
+                () = self.told.notified() => {}
             }
         }
-        let pause = tokio::time::sleep(Duration::from_secs_f64(backoff.pause()));
-        tokio::select! {
-            () = pause => {}
-            () = turn_away(&hub) => {}
-            () = moved.told.notified() => {}
-        }
+        // Its successor may have missed the note.
+        self.hub.called.notify_one();
     }
-}
 
-/// Without a connection, calls end at once: the module falls back on its safe share.
-async fn turn_away(hub: &Rc<Hub>) {
-    loop {
-        let calls = std::mem::take(&mut hub.state.borrow_mut().calls);
-        for Call { call, .. } in calls {
-            hub.counted(call, Status::ConnectFailed, 0.0, 0.0);
+    fn send(self: &Rc<Self>, Call { call, counter, amount, ttl }: Call) {
+        let route = self.lines.borrow_mut().send(self.hub.now(), call, counter);
+        let line = match route {
+            Route::On(line) | Route::Open(line) => line,
+            // At once: the module falls back on its safe share.
+            Route::Nowhere => return self.hub.counted(call, Status::ConnectFailed, 0.0, 0.0),
+        };
+        if let Route::Open(_) = route {
+            self.open(line);
         }
-        hub.called.notified().await;
+        let wire = self.wires.borrow()[line].clone();
+        write_call(&mut wire.unwritten.borrow_mut(), counter, amount, ttl);
+        wire.wake.notify_one();
     }
-}
 
-/// One connection's calls.
-struct Line<'a> {
-    hub: &'a Rc<Hub>,
-    pipeline: Pipeline<u64>,
-    reader: ResponseReader,
-    unwritten: BytesMut,
-    unread: BytesMut,
-    answered: bool,
-}
+    fn open(self: &Rc<Self>, line: usize) {
+        let mut wires = self.wires.borrow_mut();
+        while wires.len() <= line {
+            wires.push(Rc::default());
+        }
+        wires[line] = Rc::default();
+        tokio::task::spawn_local(self.clone().line(line, wires[line].clone()));
+    }
 
-impl<'a> Line<'a> {
-    fn new(hub: &'a Rc<Hub>) -> Self {
-        Self {
-            hub,
-            pipeline: Pipeline::new(hub.count_limit),
-            reader: ResponseReader::new(MOST_ANSWER),
-            unwritten: BytesMut::new(),
-            unread: BytesMut::new(),
-            answered: false,
+    /// A line's life, from its connecting to its end.
+    async fn line(self: Rc<Self>, line: usize, wire: Rc<Wire>) {
+        let limit = Duration::from_secs_f64(CONNECT * self.hub.count_limit);
+        let connected = tokio::time::timeout(limit, TcpStream::connect(self.address)).await;
+        // Without a connection nothing was added; after that it may have been.
+        let (status, end) = match connected {
+            Ok(Ok(stream)) => (Status::Reset, self.serve(line, &wire, stream).await),
+            Ok(Err(error)) => (Status::ConnectFailed, Some(error)),
+            Err(late) => (Status::ConnectFailed, Some(late.into())),
+        };
+        if let Some(error) = end {
+            tracing::debug!(%error, line, "the counter's connection is dropped");
+        }
+        let left = self.lines.borrow_mut().closed(self.hub.now(), line);
+        for (call, spent) in left {
+            self.hub.counted(call, status, 0.0, spent);
         }
     }
 
-    /// Serves calls until the connection ends; tells whether it answered any.
-    async fn serve(&mut self, mut stream: TcpStream, moved: &Moved) -> bool {
+    /// Serves a line's calls until the connection ends, and tells why unless it is in order.
+    async fn serve(&self, line: usize, wire: &Wire, mut stream: TcpStream) -> Option<io::Error> {
         let _ = stream.set_nodelay(true); // Without it calls are merely slower.
         let (mut reader, mut writer) = stream.split();
+        let mut answers = ResponseReader::new(MOST_ANSWER);
+        let (mut unread, mut unwritten) = (BytesMut::new(), BytesMut::new());
         loop {
-            if moved.set.get() && self.pipeline.deadline().is_none() {
-                break;
+            let due = self.lines.borrow().deadline(line);
+            if due.is_none() && self.moved.get() {
+                return None;
+            }
+            let at = due.map(|at| self.hub.clock.instant(at));
+            unwritten.unsplit(wire.unwritten.take());
+            if unwritten.len() > MOST_UNWRITTEN {
+                return Some(io::ErrorKind::WriteZero.into());
             }
-            let due = self.pipeline.deadline().map(|at| self.hub.clock.instant(at));
             tokio::select! {
-                // First what has come: a process that was kept from running must not give up answers that wait
-                // in its socket. Limits and writing come before calls, so that a flood of those puts neither off.
+                // First what has come: a process that was kept from running must not give up answers that
+                // wait in its socket.
                 biased;
-                read = reader.read_buf(&mut self.unread) => {
-                    if !matches!(read, Ok(1..)) || !self.answers() {
-                        break;
+                read = reader.read_buf(&mut unread) => match read {
+                    Ok(1..) => {
+                        if let Err(error) = self.answers(line, &mut answers, &mut unread) {
+                            return Some(error);
+                        }
                     }
-                }
-                () = async { tokio::time::sleep_until(due.unwrap_or_else(tokio::time::Instant::now)).await },
-                    if due.is_some() =>
+                    Ok(_) => return None,
+                    Err(error) => return Some(error),
+                },
+                () = async { tokio::time::sleep_until(at.unwrap_or_else(tokio::time::Instant::now)).await },
+                    if at.is_some() =>
                 {
-                    if self.give_up() {
-                        tracing::warn!("the counter answers nothing; its connection is dropped");
-                        break;
+                    if self.give_up(line) {
+                        return Some(io::ErrorKind::TimedOut.into());
                     }
                 }
-                written = writer.write_buf(&mut self.unwritten), if !self.unwritten.is_empty() => {
-                    if !matches!(written, Ok(1..)) {
-                        break;
+                written = writer.write_buf(&mut unwritten), if !unwritten.is_empty() => {
+                    if let Err(error) = written {
+                        return Some(error);
                     }
                 }
-                () = moved.told.notified(), if !moved.set.get() => {}
-                () = self.hub.called.notified(), if !moved.set.get() => self.send(),
+                () = wire.wake.notified() => {}
             }
         }
-        self.answered
     }
 
-    fn send(&mut self) {
-        let calls = std::mem::take(&mut self.hub.state.borrow_mut().calls);
-        for Call { call, counter, amount, ttl } in calls {
-            if self.unwritten.len() > MOST_UNWRITTEN || self.pipeline.send(self.hub.now(), call).is_err() {
-                self.hub.counted(call, Status::Full, 0.0, 0.0);
-            } else {
-                write_call(&mut self.unwritten, counter, amount, ttl);
-            }
-        }
-    }
-
-    /// Tells the calls that have waited too long; whether the connection is dead.
-    fn give_up(&mut self) -> bool {
+    /// Tells the calls that have waited too long; whether the line is dead.
+    fn give_up(&self, line: usize) -> bool {
         let now = self.hub.now();
-        for (call, spent) in self.pipeline.give_up(now) {
+        let late = self.lines.borrow_mut().give_up(now, line);
+        for (call, spent) in late {
             self.hub.counted(call, Status::Timeout, 0.0, spent);
         }
-        self.pipeline.dead(now)
+        self.lines.borrow().dead(now, line)
     }
 
-    /// Hands the answers on that have come; `false`: the connection is of no further use.
-    fn answers(&mut self) -> bool {
-        loop {
-            let response = match self.reader.read(&mut self.unread) {
-                Ok(Some(response)) => response,
-                Ok(None) => return true,
-                Err(error) => {
-                    tracing::warn!(%error, "the counter's connection is dropped");
-                    return false;
-                }
-            };
-            let Ok(call) = self.pipeline.answered(self.hub.now()) else {
-                tracing::warn!("the counter answers what was not asked; its connection is dropped");
-                return false;
-            };
-            self.answered = true;
+    /// Hands the answers on that have come. An error: the line is of no further use.
+    fn answers(&self, line: usize, answers: &mut ResponseReader, unread: &mut BytesMut) -> io::Result<()> {
+        let invalid = |error: String| io::Error::new(io::ErrorKind::InvalidData, error);
+        while let Some(response) = answers.read(unread).map_err(|e| invalid(e.to_string()))? {
+            let answered = self.lines.borrow_mut().answered(self.hub.now(), line);
             let told = outcome(&response);
-            if let Some((call, spent)) = call {
+            if let Some((call, spent)) = answered.map_err(|e| invalid(e.to_string()))? {
                 // One with no total was added, but how much there is nobody knows.
                 let (status, total) = told.unwrap_or((Status::Timeout, 0.0));
                 self.hub.counted(call, status, total, spent);
             }
             if told.is_none() || response.closes {
-                return false;
+                return Err(invalid("its answer holds no total".into()));
             }
         }
+        Ok(())
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::alarm::Alarm;
 use crate::budget::Budget;
-use crate::counter::{self, Moved};
+use crate::counter::Counter;
 use crate::hub::{Hub, State};
 use crate::{client, discovery};
 use std::cell::{Cell, RefCell};
@@ -130,7 +130,7 @@
     seed: u64,
     discovery: SocketAddr,
     watch: AbortHandle,
-    counter: Option<(SocketAddr, Rc<Moved>)>,
+    counter: Option<Rc<Counter>>,
 }
 
 impl World {
@@ -147,19 +147,19 @@
     }
 
     fn call(&mut self, address: Option<SocketAddr>) {
-        if let Some((_, moved)) = self.counter.take() {
-            moved.set();
+        if let Some(counter) = self.counter.take() {
+            counter.moved();
+        }
+        self.counter = address.map(|address| Counter::new(self.hub.clone(), address, self.seed));
+        if let Some(counter) = &self.counter {
+            spawn_local(counter.clone().run());
         }
-        let Some(address) = address else { return };
-        let moved = Rc::new(Moved::default());
-        spawn_local(counter::run(self.hub.clone(), address, self.seed, moved.clone()));
-        self.counter = Some((address, moved));
     }
 
     /// Moves to the addresses of a new configuration.
     fn follow(&mut self, config: &Config) {
         tracing::info!(discovery = %config.discovery, counter = ?config.counter, "the configuration was read anew");
-        if config.counter != self.counter.as_ref().map(|(address, _)| *address) {
+        if config.counter != self.counter.as_ref().map(|counter| counter.address()) {
             self.call(config.counter);
         }
         if config.discovery != self.discovery {
