--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -136,3 +136,46 @@
         Some(found.2)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_longest_useless_gives_way_and_an_open_request_never() {
+        let mut seats = Seats::new(4);
+        for (at, id) in [(0.0, 1), (0.1, 2), (0.2, 3), (0.3, 4)] {
+            seats.sit(at, id);
+        }
+        seats.busy(0.3, 1);
+        seats.idle(0.3, 2);
+        assert!(!seats.free());
+        assert_eq!(seats.overdue(0.44), [0u64; 0], "its request may be on its way");
+        assert_eq!(seats.next_overdue(), Some(0.45));
+        assert_eq!(seats.overdue(0.45), [3], "before an idle one");
+        seats.leave(3);
+        assert!(seats.free());
+        seats.sit(0.5, 5);
+        assert_eq!(seats.overdue(0.8), [4]);
+        assert_eq!(seats.overdue(0.8), [5], "none is named twice");
+        assert_eq!(seats.overdue(2.31), [2], "idle for two seconds");
+        assert_eq!(seats.overdue(1e6), [0u64; 0], "the busy one stays");
+    }
+
+    #[test]
+    fn one_that_says_nothing_is_let_go_though_seats_are_free() {
+        let mut seats = Seats::new(4);
+        seats.sit(1.0, 1);
+        assert_eq!(seats.next_overdue(), Some(1.0 + FIRST_REQUEST));
+        assert_eq!(seats.overdue(1.0 + FIRST_REQUEST), [1]);
+        seats.leave(1);
+        assert_eq!((seats.len(), seats.next_overdue()), (0, None));
+    }
+
+    #[test]
+    fn where_hundreds_say_nothing_several_give_way_at_once() {
+        let mut seats = Seats::new(80);
+        (0..80).for_each(|id| seats.sit(0.0, id));
+        assert_eq!(seats.overdue(1.0).len(), 10);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/relay.rs
@@ -0,0 +1,223 @@
+//! The relay in virtual time: whatever order outcomes, time-outs, departures and counter answers come in, each
+//! request gets one answer in time and leaves nothing behind.
+
+use proptest::prelude::*;
+use std::collections::{HashMap, HashSet};
+use weirusher::{Class, JobId, ListKind, Load, Plan, Server, Settings, Status};
+use weirusher_core::{Arrival, Ask, Relay, RelayOutput};
+
+const START: f64 = 1_000_000.0;
+const PATIENCE: f64 = 3.0;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive,
+    /// The id of an open request once more.
+    Double {
+        job: usize,
+    },
+    End {
+        attempt: usize,
+        status: Status,
+    },
+    /// An end that was told already, or of an attempt that never was.
+    Stray {
+        job: usize,
+        attempt: u32,
+    },
+    Leave {
+        job: usize,
+    },
+    Counted {
+        status: Status,
+    },
+    Wait {
+        millis: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let status = prop_oneof![
+        3 => Just(Status::Ok),
+        1 => Just(Status::Error),
+        1 => Just(Status::Full),
+        1 => Just(Status::ConnectFailed),
+        1 => Just(Status::Reset),
+        1 => Just(Status::Moot),
+    ];
+    prop_oneof![
+        4 => Just(Step::Arrive),
+        1 => (0..32usize).prop_map(|job| Step::Double { job }),
+        4 => (0..32usize, status.clone()).prop_map(|(attempt, status)| Step::End { attempt, status }),
+        1 => (0..32usize, 0..4u32).prop_map(|(job, attempt)| Step::Stray { job, attempt }),
+        1 => (0..32usize).prop_map(|job| Step::Leave { job }),
+        2 => status.prop_map(|status| Step::Counted { status }),
+        2 => (0..900u64).prop_map(|millis| Step::Wait { millis }),
+    ]
+}
+
+fn settings() -> Settings {
+    let mut plan = Plan::default();
+    (plan.rate, plan.burst, plan.pays) = (50.0, 50.0, 1.0);
+    let mut settings = Settings::default();
+    (settings.gateways, settings.has_counter, settings.max_attempts) = (2, true, 3);
+    (settings.second_copies, settings.may_cancel) = (true, true);
+    settings.plans = vec![plan];
+    settings.classes = vec![Class::default()];
+    settings
+}
+
+struct Rig {
+    relay: Relay,
+    now: f64,
+    next: u64,
+    out: Vec<(JobId, u32)>,
+    jobs: Vec<JobId>,
+    answered: HashMap<JobId, u32>,
+    left: HashSet<JobId>,
+    arrived: HashMap<JobId, f64>,
+    calls: Vec<u64>,
+}
+
+impl Rig {
+    fn new() -> Self {
+        let mut relay = Relay::new(settings(), 7, START).unwrap();
+        relay.list(START, ListKind::Full, (0..6).map(|n| Server::warm(format!("w{n}"))).collect());
+        let (out, jobs, calls) = Default::default();
+        let (answered, left, arrived) = Default::default();
+        Self { relay, now: START, next: 0, out, jobs, answered, left, arrived, calls }
+    }
+
+    fn settle(&mut self) {
+        let mut outputs = Vec::new();
+        self.relay.take_outputs(&mut outputs);
+        for output in outputs {
+            match output {
+                RelayOutput::Send { job, attempt, timeout, .. } => {
+                    assert!(!self.answered.contains_key(&job), "nothing goes out for an answered request");
+                    assert!(!self.left.contains(&job), "nothing goes out for a client that left");
+                    assert!(self.now + timeout <= self.arrived[&job] + PATIENCE);
+                    self.out.push((job, attempt));
+                }
+                RelayOutput::Abort { job, attempt } => self.out.retain(|out| *out != (job.clone(), attempt)),
+                RelayOutput::Answer { job, .. } => self.answer(job),
+                RelayOutput::Ask(Ask::Count { call, .. }) => self.calls.push(call),
+                RelayOutput::Ask(_) => {}
+            }
+        }
+    }
+
+    fn answer(&mut self, job: JobId) {
+        assert!(!self.left.contains(&job));
+        assert!(self.now < self.arrived[&job] + PATIENCE, "answered in time");
+        *self.answered.entry(job).or_default() += 1;
+    }
+
+    fn arrive(&mut self) {
+        self.next += 1;
+        let job: JobId = format!("job{}", self.next).into();
+        self.arrived.insert(job.clone(), self.now);
+        self.jobs.push(job.clone());
+        assert!(self.relay.request(self.now, arrival(&job)));
+    }
+
+    fn wait(&mut self, until: f64) {
+        while let Some(due) = self.relay.next_deadline().filter(|due| *due <= until) {
+            self.now = due.max(self.now);
+            self.relay.advance(self.now);
+            self.settle();
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, step: Step) {
+        let job = |jobs: &[JobId], at: usize| jobs.get(at % jobs.len().max(1)).cloned();
+        match step {
+            Step::Arrive => self.arrive(),
+            Step::Double { job: at } => {
+                if let Some(job) = job(&self.jobs, at).filter(|job| self.relay.knows(job)) {
+                    assert!(!self.relay.request(self.now, arrival(&job)));
+                }
+            }
+            Step::End { attempt, status } if !self.out.is_empty() => {
+                let (job, attempt) = self.out.remove(attempt % self.out.len());
+                if self.relay.ended(self.now, &job, attempt, status, Load::default()) {
+                    assert_eq!(status, Status::Ok);
+                    self.answer(job);
+                }
+            }
+            Step::Stray { job: at, attempt } => {
+                let Some(job) = job(&self.jobs, at) else { return };
+                if !self.out.contains(&(job.clone(), attempt)) {
+                    assert!(!self.relay.ended(self.now, &job, attempt, Status::Ok, Load::default()));
+                }
+            }
+            Step::Leave { job: at } => {
+                let Some(job) = job(&self.jobs, at) else { return };
+                self.relay.left(self.now, &job);
+                if !self.answered.contains_key(&job) {
+                    self.left.insert(job);
+                }
+            }
+            Step::Counted { status } if !self.calls.is_empty() => {
+                let call = self.calls.remove(0);
+                self.relay.counted(self.now, call, status, 1.0, 0.001);
+            }
+            Step::Wait { millis } => self.wait(self.now + millis as f64 / 1e3),
+            Step::End { .. } | Step::Counted { .. } => {}
+        }
+        self.settle();
+    }
+}
+
+fn arrival(job: &JobId) -> Arrival {
+    let (customer, spread) = ("c".into(), (2, 0));
+    let job = job.clone();
+    Arrival { job, customer, plan: 0, class: 0, units: 1.0, patience: PATIENCE, spread, repeat: false }
+}
+
+proptest! {
+    #[test]
+    fn each_request_gets_one_answer_in_time_and_leaves_nothing(steps in proptest::collection::vec(step(), 1..120)) {
+        let mut rig = Rig::new();
+        steps.into_iter().for_each(|step| rig.step(step));
+        // Nothing more comes from anywhere: limits end what is open.
+        rig.wait(rig.now + 2.0 * PATIENCE);
+        for job in &rig.jobs {
+            let answers = rig.answered.get(job).copied().unwrap_or(0);
+            prop_assert_eq!(answers, u32::from(!rig.left.contains(job)), "{}", job);
+        }
+        prop_assert_eq!((rig.relay.owed(), rig.relay.open(), rig.out.len()), (0, 0, 0));
+    }
+}
+
+#[test]
+fn a_request_that_nobody_decides_is_answered_before_its_client_gives_up() {
+    let mut rig = Rig::new();
+    rig.arrive();
+    rig.settle();
+    rig.wait(START + PATIENCE);
+    assert_eq!(rig.answered.len(), 1);
+    let tally = rig.relay.tally();
+    assert_eq!((tally.timed_out + tally.overdue, tally.served), (tally.attempts.max(1), 0));
+}
+
+#[test]
+fn ever_new_requests_return_the_ledger_to_its_size() {
+    let mut rig = Rig::new();
+    for round in 0..2_000u32 {
+        rig.arrive();
+        rig.settle();
+        rig.calls.clear();
+        while let Some((job, attempt)) = rig.out.pop() {
+            if rig.relay.ended(rig.now, &job, attempt, Status::Ok, Load::default()) {
+                rig.answer(job);
+            }
+            rig.settle();
+        }
+        rig.wait(START + f64::from(round) * 0.1);
+    }
+    rig.wait(rig.now + PATIENCE);
+    assert_eq!((rig.relay.owed(), rig.relay.open()), (0, 0));
+    assert!(rig.relay.tally().served > 500);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -45,7 +45,8 @@
         backoff.reset();
         match held.take(&body) {
             Ok(Some(told)) => hub.list(told),
-            Ok(None) => {}
+            // It is older than what is held: asked anew, but not in a tight loop.
+            Ok(None) => tokio::time::sleep(Duration::from_secs_f64(backoff.pause())).await,
             Err(error) => return io::Error::new(io::ErrorKind::InvalidData, error),
         }
     }
--- /dev/null
+++ b/crates/platform/tests/parsers.rs
@@ -0,0 +1,213 @@
+//! What arrives is read strictly, the same way however its bytes are split, and never past a bound.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use serde_json::json;
+use weirusher::{Lifecycle, ListKind, Site, Status};
+use weirusher_platform::client::{self, Asked, BadRequest, Demand, Names};
+use weirusher_platform::list::Held;
+use weirusher_platform::response::{Response, ResponseReader};
+use weirusher_platform::{counter, worker};
+use weirusher_wire::head::{NO_HEADERS, request};
+
+fn names() -> Names {
+    let settings = json!({
+        "PeersTotal": 4, "Me": 1, "Domain": {"MaxUnits": 8.0},
+        "Classes": [{"Name": "check-answer", "Effect": "idempotent"}, {"Name": "store", "Effect": "at_most_once"}],
+        "Plans": [{"Name": "pieni", "QuotaRate": 1.0, "Depth": 4.0}, {"Name": "iso"}],
+    });
+    Names::new(&Site::read(&settings).unwrap())
+}
+
+const GOOD: &str = "GET /api/00000000b4d65521 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: 9b1f03aa5c7e2d41\r\n\
+    X-Qos: check-answer\r\nPlan: iso\r\nX-Expires-In: 480m\r\nQuota-Info: units=2,spread=3,first=1\r\n\r\n";
+
+fn read(text: &str) -> Result<Asked, BadRequest> {
+    let mut slots = NO_HEADERS;
+    client::read(&names(), &request(text.as_bytes(), &mut slots)?)
+}
+
+fn demand(text: &str) -> Demand {
+    match read(text) {
+        Ok(Asked::Demand(demand)) => demand,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_request_is_read_as_the_page_says() {
+    let read = demand(GOOD);
+    assert_eq!((&*read.job, &*read.customer), ("9b1f03aa5c7e2d41", "00000000b4d65521"));
+    assert_eq!((read.class, read.plan, read.units, read.spread), (0, 1, 2.0, (3, 1)));
+    assert!((read.patience - 0.48).abs() < 1e-9 && !read.repeat && !read.closes);
+    let micros = GOOD
+        .replace("480m", "250000u")
+        .replace("\r\n\r\n", "\r\nX-Second-Try: 1\r\nConnection: close\r\n\r\n");
+    let read = demand(&micros);
+    assert!((read.patience - 0.25).abs() < 1e-9 && read.repeat && read.closes);
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    assert_eq!(self::read(ready), Ok(Asked::Ready));
+}
+
+#[test]
+fn what_is_wrong_is_an_error_with_its_status() {
+    for (from, to, status) in [
+        ("GET /api/00000000b4d65521", "GET /api/00000000b4d6552", 404),
+        ("GET /api/00000000b4d65521", "GET /api/0000000200000000", 404),
+        ("GET /api/00000000b4d65521", "GET /api/00000000B4D65521", 404),
+        ("GET /api", "POST /api", 405),
+        ("check-answer", "store", 405),
+        ("check-answer", "other", 400),
+        ("Plan: iso", "Plan: gold", 400),
+        ("Plan: iso", "Plan: iso\r\nPlan: iso", 400),
+        ("X-Trace-Id: 9b1f03aa5c7e2d41\r\n", "", 400),
+        ("9b1f03aa5c7e2d41", "", 400),
+        ("9b1f03aa5c7e2d41", "a b", 400),
+        ("480m", "480", 400),
+        ("480m", "-480m", 400),
+        ("480m", "NaNm", 400),
+        ("480m", "infm", 400),
+        ("480m", "1e3m", 400),
+        ("480m", "0m", 400),
+        ("480m", "99999999999m", 400),
+        ("units=2", "units=9", 400),
+        ("units=2", "units=0", 400),
+        ("units=2", "units=-1", 400),
+        ("units=2,", "", 400),
+        ("units=2", "units=2,units=2", 400),
+        ("spread=3", "spread=5", 400),
+        ("spread=3", "spread=0", 400),
+        ("first=1", "first=4", 400),
+        ("first=1", "first=+1", 400),
+        ("first=1", "first=18446744073709551617", 400),
+        ("Host: backend.local", "Content-Length: 3\r\nContent-Length: 3", 400),
+        ("Host: backend.local", "Content-Length: 0\r\nTransfer-Encoding: chunked", 400),
+        ("Host: backend.local", "Transfer-Encoding: chunked", 400),
+        ("Host: backend.local", "Content-Length: -1", 400),
+        ("Host: backend.local", "Content-Length: 60000000", 413),
+        ("Host: backend.local", "Content-Length: 99999999999999999999", 413),
+        ("Host: backend.local", "X : 1", 400),
+        ("HTTP/1.1", "HTTP/1.0", 400),
+        ("HTTP/1.1", "HTTP/9", 400),
+    ] {
+        assert!(GOOD.contains(from), "{from}");
+        let bad = read(&GOOD.replacen(from, to, 1)).expect_err(to);
+        assert_eq!(bad.status(), status, "{to}: {bad}");
+    }
+}
+
+fn responses(bytes: &[u8], piece: usize) -> Result<Vec<Response>, String> {
+    let (mut reader, mut held, mut all) = (ResponseReader::new(1024), BytesMut::new(), Vec::new());
+    for part in bytes.chunks(piece.max(1)) {
+        held.extend_from_slice(part);
+        while let Some(response) = reader.read(&mut held).map_err(|e| e.to_string())? {
+            all.push(response);
+        }
+    }
+    Ok(all)
+}
+
+#[test]
+fn only_a_whole_framed_200_serves() {
+    let one = |text: &str| responses(text.as_bytes(), 7).map(|all| all.first().map(worker::outcome));
+    assert_eq!(one("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Ok(Some(Status::Ok)));
+    assert_eq!(one("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"), Ok(None), "it waits for the rest");
+    assert_eq!(one("HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"), Ok(Some(Status::Error)));
+    assert_eq!(one("HTTP/1.1 204 -\r\nContent-Length: 0\r\n\r\n"), Ok(Some(Status::Error)));
+    for status in [503, 504] {
+        let never = format!("HTTP/1.1 {status} -\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(one(&never), Ok(Some(Status::Full)));
+        assert_eq!(one(&never.replace("Ran: 1", "Ran: 0")), Ok(Some(Status::Error)));
+    }
+    let interim = "HTTP/1.1 103 -\r\nLink: x\r\n\r\n";
+    let real = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(one(&format!("{interim}{interim}{real}")), Ok(Some(Status::Ok)));
+    assert!(one(&format!("{}{real}", interim.repeat(9))).is_err());
+    for spoilt in
+        ["Content-Length: 3221225472", "Content-Length: -1", "Content-Length: 1\r\nContent-Length: 2", "X: y"]
+    {
+        assert!(one(&format!("HTTP/1.1 200 OK\r\n{spoilt}\r\n\r\n")).is_err(), "{spoilt}");
+    }
+    assert!(one(&format!("HTTP/1.1 200 OK\r\nX: {}", "a".repeat(20_000))).is_err(), "a head without end");
+}
+
+#[test]
+fn a_total_that_cannot_be_read_is_none() {
+    let told = |text: &str| counter::outcome(&responses(text.as_bytes(), 9).unwrap()[0]);
+    let ok = |body: &str| told(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    assert_eq!(ok("38.25"), Some((Status::Ok, 38.25)));
+    assert_eq!(ok("1e2\n"), Some((Status::Ok, 100.0)));
+    assert!(ok("").is_none() && ok("NaN").is_none() && ok("<html>").is_none());
+    assert_eq!(told("HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n"), Some((Status::Full, 0.0)));
+    let mut call = BytesMut::new();
+    counter::write_call(&mut call, 0xABC, -2.5, 400.0);
+    assert!(call.starts_with(b"POST /v2/numbers/abc?delta=-2.500000&life_ms=60000 HTTP/1.1\r\n"));
+}
+
+#[test]
+fn a_report_that_cannot_be_read_is_no_report() {
+    let load = worker::load("TEXT inflight=7, queue=2, util=0.61");
+    assert_eq!((load.inflight, load.util), (Some(7.0), Some(0.61)));
+    for bad in ["TEXT inflight=x", "TEXT inflight=-1", "TEXT util=NaN", "TEXT ,", "", &"x".repeat(2000)] {
+        let load = worker::load(bad);
+        assert_eq!((load.inflight, load.util), (None, None), "{bad}");
+    }
+}
+
+#[test]
+fn a_list_is_taken_by_its_version() {
+    let mut held = Held::new(vec!["a".into(), "b".into()]);
+    assert_eq!(held.target(5.0), "/api/targets");
+    let list = |index: u64, whole: bool, status: &str| {
+        json!({"index": index, "snapshot": whole, "endpoints": [{"name": "s-1", "address": "10.1.0.18:8443",
+            "zone": "b", "type": "m2", "group": 3, "status": status, "weight": 1.0, "since_ms": 1500}]})
+        .to_string()
+    };
+    assert!(held.take(list(40, false, "SERVING").as_bytes()).unwrap().is_none(), "changes to nothing");
+    let told = held.take(list(41, true, "SERVING").as_bytes()).unwrap().unwrap();
+    assert_eq!((told.kind, told.servers[0].zone, told.servers[0].cell), (ListKind::Full, 1, 3));
+    assert!((told.servers[0].started - 1.5).abs() < 1e-9);
+    assert_eq!(held.target(5.0), "/api/targets?since=41&timeout_ms=5000");
+    let told = held.take(list(43, false, "DELETED").as_bytes()).unwrap().unwrap();
+    assert_eq!((told.kind, told.servers[0].lifecycle), (ListKind::Changes, Lifecycle::Gone));
+    assert!(told.workers[0].gone);
+    for bad in [
+        "",
+        "{",
+        "[]",
+        r#"{"index":1}"#,
+        &list(44, false, "ODD"),
+        &list(44, false, "SERVING").replace("10.1", "x"),
+    ] {
+        assert!(held.take(bad.as_bytes()).is_err(), "{bad}");
+    }
+    assert_eq!(held.target(5.0), "/api/targets?since=43&timeout_ms=5000", "what is held stays");
+    assert!(held.take(list(42, false, "SERVING").as_bytes()).unwrap().is_none(), "a lower version");
+    assert_eq!(held.target(5.0), "/api/targets", "so the whole list is asked for");
+}
+
+proptest! {
+    #[test]
+    fn any_split_of_the_bytes_reads_the_same(body in "[a-z]{0,40}", interim in any::<bool>(), piece in 1..40usize) {
+        let ahead = if interim { "HTTP/1.1 100 Continue\r\n\r\n" } else { "" };
+        let one = format!("{ahead}HTTP/1.1 200 OK\r\nX-Never-Ran: 1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let bytes = one.repeat(3);
+        let (whole, split) = (responses(bytes.as_bytes(), bytes.len()), responses(bytes.as_bytes(), piece));
+        prop_assert_eq!(whole.as_ref().map(Vec::len), Ok(3));
+        prop_assert_eq!(whole, split);
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300), at in 0..200usize) {
+        let mut text = GOOD.as_bytes().to_vec();
+        let at = at.min(text.len() - 4);
+        let upto = (at + bytes.len()).min(text.len() - 4);
+        text.splice(at..upto, bytes.iter().copied());
+        let mut slots = NO_HEADERS;
+        if let Ok(head) = request(&text, &mut slots) {
+            let _ = client::read(&names(), &head);
+        }
+        let _ = responses(&bytes, 11);
+        let _ = Held::default().take(&bytes);
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod edge;
 mod link;
 mod record;
+mod scripted;
 
 pub use checker::{CHANCE, Checker, CheckerSpec, Cold};
 pub use counter::{Counter, CounterFault};
@@ -19,3 +20,4 @@
 pub use edge::{Edge, End, Habits, Outcome, Try};
 pub use link::{Link, LinkFault};
 pub use record::{ColdBook, Door, Fact, Final, Line, Recorder, RuleBook, ServerState, Verdict};
+pub use scripted::{Came, Reply, Script, Scripted, counting, frame};
