--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 const WINDOW_SPANS: f64 = 4.0;
 /// Shortest and longest window, seconds: no turn within a refresh, and names last less than 60 s.
 const WINDOW_BOUNDS: (f64, f64) = (2.0, 25.0);
-/// Seconds of recent demand a block covers: a crowded counter bears no call for each request; more would strand.
+/// Seconds of recent demand a block covers: a crowded counter bears no call for each request; more strands.
 const BLOCK_SPAN: f64 = 2.0;
 /// Seconds over which demand is averaged: a few blocks.
 const DEMAND_MEMORY: f64 = 1.0;
@@ -33,7 +33,7 @@
 const HOLD_SHARE: f64 = 0.4;
 /// Share of the counter's time limit past which an answer shows a crowded counter.
 const CROWDED_SHARE: f64 = 0.6;
-/// Calls a second: at least (trials while it is quiet); over all at the start, few: one run over looks quiet.
+/// Calls a second: at least (trials while it is quiet); at the start over all: one run over looks quiet.
 const CALLS: (f64, f64) = (1.0, 200.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
 const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
