--- /dev/null
+++ b/fuzz/fuzz_targets/platform.rs
@@ -0,0 +1,38 @@
+//! The platform's parsers take any bytes: a message, an error or a wait, in any pieces the same.
+#![no_main]
+
+use bytes::BytesMut;
+use libfuzzer_sys::fuzz_target;
+use weirusher_platform::config::Config;
+use weirusher_platform::list::Held;
+use weirusher_platform::response::ResponseReader;
+use weirusher_platform::worker;
+
+fn read(bytes: &[u8], piece: usize) -> Vec<Option<u16>> {
+    let (mut reader, mut held, mut all) = (ResponseReader::new(1024), BytesMut::new(), Vec::new());
+    for part in bytes.chunks(piece) {
+        held.extend_from_slice(part);
+        loop {
+            match reader.read(&mut held) {
+                Ok(Some(response)) => all.push(Some(response.status)),
+                Ok(None) => break,
+                Err(_) => {
+                    all.push(None);
+                    return all;
+                }
+            }
+        }
+    }
+    all
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    if !bytes.is_empty() {
+        assert_eq!(read(bytes, bytes.len()), read(bytes, 1 + bytes.len() / 3));
+    }
+    let _ = Held::default().take(bytes);
+    let _ = Config::parse(bytes);
+    if let Ok(text) = std::str::from_utf8(bytes) {
+        let _ = worker::load(text);
+    }
+});
