--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -68,17 +68,39 @@
     }
 }
 
+/// Room for a body, from its head on: dropped, it is free again.
+struct Held {
+    hub: Rc<Hub>,
+    bytes: usize,
+}
+
+impl Held {
+    /// `None`: the bodies that are held, or on their way, leave no room.
+    fn take(hub: &Rc<Hub>, bytes: usize) -> Option<Self> {
+        let held = &mut hub.state.borrow_mut().body_bytes;
+        if *held + bytes > hub.budget.body_bytes {
+            return None;
+        }
+        *held += bytes;
+        Some(Self { hub: hub.clone(), bytes })
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.hub.state.borrow_mut().body_bytes -= self.bytes;
+    }
+}
+
 /// A request whose client waits; dropped unanswered, the client has left.
 struct Open {
     hub: Rc<Hub>,
     job: JobId,
-    held: usize,
     answered: bool,
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.hub.state.borrow_mut().body_bytes -= self.held;
         if !self.answered {
             self.hub.left(&self.job);
         }
@@ -88,7 +110,7 @@
 /// What a connection brought next.
 enum Next {
     Ready { closes: bool },
-    Request(Demand, Passed),
+    Request(Demand, Passed, Held),
     End,
 }
 
@@ -125,7 +147,7 @@
                 self.idle();
                 Ok(!close)
             }
-            Ok(Next::Request(demand, passed)) => self.request(demand, passed).await,
+            Ok(Next::Request(demand, passed, _held)) => self.request(demand, passed).await,
             Err(bad) => {
                 self.turn_down(bad).await?;
                 Ok(false)
@@ -202,10 +224,7 @@
             Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
             Asked::Demand(demand) => demand,
         };
-        let budget = self.seat.hub.budget.body_bytes;
-        if self.seat.hub.state.borrow().body_bytes + demand.length > budget {
-            return Err(BadRequest::NoRoom);
-        }
+        let held = Held::take(&self.seat.hub, demand.length).ok_or(BadRequest::NoRoom)?;
         while self.buffer.len() < demand.length {
             self.buffer.reserve(demand.length - self.buffer.len());
             if !self.more().await? {
@@ -214,7 +233,7 @@
         }
         let body = self.buffer.split_to(demand.length).freeze();
         let passed = Passed::new(&parsed, &demand.job, body);
-        Ok(Next::Request(demand, passed))
+        Ok(Next::Request(demand, passed, held))
     }
 
     // ---- Answering ----
@@ -223,14 +242,12 @@
         let hub = self.seat.hub.clone();
         let Demand { job, customer, class, plan, units, spread, patience, repeat, closes, .. } = demand;
         hub.state.borrow_mut().seats.busy(hub.now(), self.seat.id);
-        let held = passed.held();
         let arrival = Arrival { job: job.clone(), customer, plan, class, units, patience, spread, repeat };
         let Some(reply) = hub.request(arrival, passed) else {
             self.turn_down(BadRequest::Doubled).await?;
             return Ok(false);
         };
-        hub.state.borrow_mut().body_bytes += held;
-        let mut open = Open { hub, job, held, answered: false };
+        let mut open = Open { hub, job, answered: false };
         let reply = self.answer(reply).await?;
         open.answered = true;
         let close = closes || self.stopping();
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -33,11 +33,6 @@
         Self { head: dst.freeze(), body }
     }
 
-    /// Bytes of its body.
-    pub fn held(&self) -> usize {
-        self.body.len()
-    }
-
     /// Its body.
     pub fn body(&self) -> Bytes {
         self.body.clone()
