--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,7 @@
 //! what a request becomes is decided by the module behind [`weirusher_core::Relay`], which connections are kept
 //! by [`weirusher_core::Pool`] and [`weirusher_core::Seats`].
 //!
-//! Everything runs on one thread, in tasks that share the [`hub`]: one for each client connection and for each
+//! Everything runs on one thread, in tasks that share the hub: one for each client connection and for each
 //! attempt, and one each for the counter, discovery, timers and signals.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
