Node: one guard for a worker's connection, one way to let clients go, dead state removed

Read over once more. Lease and Opening counted the same connection in two guards; idlers and stop told leavers by the same loop; Hub::settled was rung and never awaited; LAST_ACCEPTS held a second figure that nothing used; the id of a request was looked up twice. No behaviour changes.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -79,8 +79,6 @@
     pub ready: Cell<bool>,
     /// No answer keeps its connection.
     pub stopping: Cell<bool>,
-    /// Nothing is owed any more.
-    pub settled: Notify,
 }
 
 impl State {
@@ -110,11 +108,11 @@
         let (answer, reply) = oneshot::channel();
         {
             let state = &mut *self.state.borrow_mut();
-            if state.relay.knows(&arrival.job) {
+            let job = arrival.job.clone();
+            if !state.relay.request(self.now(), arrival) {
                 return None;
             }
-            state.waiting.insert(arrival.job.clone(), Waiting { passed: Rc::new(passed), answer });
-            state.relay.request(self.now(), arrival);
+            state.waiting.insert(job, Waiting { passed: Rc::new(passed), answer });
         }
         self.pump();
         Some(reply)
@@ -211,9 +209,6 @@
         if called {
             self.called.notify_one();
         }
-        if self.stopping.get() && state.relay.owed() == 0 {
-            self.settled.notify_one();
-        }
         for call in turned_away {
             state.relay.counted(self.now(), call, Status::Full, 0.0, 0.0);
         }
@@ -229,6 +224,11 @@
 }
 
 impl State {
+    /// Tells clients' connections to go.
+    pub fn let_go(&self, ids: &[SeatId]) {
+        ids.iter().filter_map(|id| self.leavers.get(id)).for_each(|leave| leave.notify_one());
+    }
+
     fn reply(&mut self, job: &JobId, reply: Reply) {
         if let Some(waiting) = self.waiting.remove(job) {
             let _ = waiting.answer.send(reply); // Its client's connection broke just now.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -23,9 +23,8 @@
 /// Share of the idle limit after which a worker's connection is not used any more: a request must not cross
 /// its close.
 const IDLE_MARGIN: f64 = 0.8;
-/// After SIGTERM, new connections are taken for as long as they come within this of each other, at least the
-/// first time and at most the second.
-const LAST_ACCEPTS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(600));
+/// After SIGTERM, new connections are taken for so long: the front still opens some.
+const LAST_ACCEPTS: Duration = Duration::from_millis(500);
 /// After SIGTERM, the longest wait for what is owed: clients' own limits end it sooner.
 const DRAIN: Duration = Duration::from_secs(60);
 
@@ -120,7 +119,6 @@
         seat: Notify::new(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
-        settled: Notify::new(),
     }))
 }
 
@@ -190,9 +188,8 @@
         let state = &mut *hub.state.borrow_mut();
         let now = hub.now();
         state.pool.prune(now, |_| true); // What comes back is dropped.
-        for id in state.seats.overdue(now) {
-            state.leavers.get(&id).into_iter().for_each(|leave| leave.notify_one());
-        }
+        let overdue = state.seats.overdue(now);
+        state.let_go(&overdue);
     }
 }
 
@@ -202,11 +199,10 @@
     tracing::info!(owed = hub.state.borrow().relay.owed(), "stopping");
     {
         let state = &mut *hub.state.borrow_mut();
-        for id in state.seats.unused() {
-            state.leavers.get(&id).into_iter().for_each(|leave| leave.notify_one());
-        }
+        let unused = state.seats.unused();
+        state.let_go(&unused);
     }
-    tokio::time::sleep(LAST_ACCEPTS.0).await;
+    tokio::time::sleep(LAST_ACCEPTS).await;
     accepting.abort();
     drop(listener);
     let settled = async {
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -30,23 +30,30 @@
     pub passed: Rc<Passed>,
 }
 
-/// A connection in use; dropped, it is closed and counted so.
+/// A connection in use, or being made; dropped, it is closed and counted so.
 struct Lease {
     hub: Rc<Hub>,
     stream: Option<TcpStream>,
+    /// It went back to the pool.
+    kept: bool,
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if self.stream.take().is_some() {
+        if !self.kept {
             self.hub.state.borrow_mut().pool.closed();
         }
     }
 }
 
 impl Lease {
+    fn new(hub: &Rc<Hub>, stream: Option<TcpStream>) -> Self {
+        Self { hub: hub.clone(), stream, kept: false }
+    }
+
     fn keep(mut self, place: Place) {
         let Some(stream) = self.stream.take() else { return };
+        self.kept = true;
         let state = &mut *self.hub.state.borrow_mut();
         state.pool.put(self.hub.now(), place, stream); // What comes back is dropped.
         self.hub.idlers.set(state.pool.next_prune());
@@ -85,8 +92,7 @@
             (outcome(&response), report, response.body)
         }
         // Broken off, or spoilt: it may have run.
-        Ok(None) => nothing(Status::Reset),
-        Err(_) => nothing(Status::Reset),
+        Ok(None) | Err(_) => nothing(Status::Reset),
     }
 }
 
@@ -95,45 +101,23 @@
     loop {
         let pooled = hub.state.borrow_mut().pool.take(hub.now(), place);
         let Some(stream) = pooled else { break };
-        let lease = Lease { hub: hub.clone(), stream: Some(stream) };
+        let lease = Lease::new(hub, Some(stream));
         // Anything to be read, an end included, is no answer of ours.
         if lease.stream.as_ref().is_some_and(quiet) {
             return Ok(lease);
         }
     }
-    let room = hub.state.borrow_mut().pool.opening();
-    if room_is_full(room) {
+    // One that gives way is dropped here.
+    if matches!(hub.state.borrow_mut().pool.opening(), Room::Full) {
         return Err(Status::Moot);
     }
-    let mut opening = Opening { hub: hub.clone(), counted: true };
+    let mut lease = Lease::new(hub, None);
     let limit = Duration::from_secs_f64(hub.connect_timeout);
     let connected = tokio::time::timeout(limit, TcpStream::connect(place.1)).await;
     let Ok(Ok(stream)) = connected else { return Err(Status::ConnectFailed) };
     let _ = stream.set_nodelay(true); // Without it attempts are merely slower.
-    opening.counted = false;
-    Ok(Lease { hub: hub.clone(), stream: Some(stream) })
-}
-
-fn room_is_full(room: Room<TcpStream>) -> bool {
-    match room {
-        Room::Free => false,
-        Room::Instead(_dropped) => false,
-        Room::Full => true,
-    }
-}
-
-/// A connection that is being made counts as open until it fails.
-struct Opening {
-    hub: Rc<Hub>,
-    counted: bool,
-}
-
-impl Drop for Opening {
-    fn drop(&mut self) {
-        if self.counted {
-            self.hub.state.borrow_mut().pool.closed();
-        }
-    }
+    lease.stream = Some(stream);
+    Ok(lease)
 }
 
 /// Whether nothing at all is to be read from a connection, its end included.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -239,14 +239,10 @@
 /// The end of a head: the body's length, and whether the connection closes.
 fn finish(dst: &mut BytesMut, length: usize, close: bool) {
     dst.put_slice(b"Content-Length: ");
-    dst.put_slice(itoa(length).as_bytes());
+    dst.put_slice(length.to_string().as_bytes());
     dst.put_slice(if close { b"\r\nConnection: close\r\n\r\n" } else { b"\r\n\r\n" });
 }
 
-fn itoa(number: usize) -> String {
-    number.to_string()
-}
-
 /// Writes the head of an answer that a worker made; its body of `length` bytes follows.
 pub fn write_served(dst: &mut BytesMut, length: usize, close: bool) {
     dst.put_slice(b"HTTP/1.1 200 OK\r\n");
