A cold server's budget is the planned share of what rule 4 allows, no even part of the load

Need: through a release the warm half of the workers was overloaded while the cold half idled.

To blame: cold_room() held the budget to an even part of the load (min(1.0)), where 0.4 of the multiple of 4 that rule 4 allows was planned. Change: the min is gone; the budget is warmth x multiple x 0.4 x what a server carries on average.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -485,7 +485,7 @@
             return f64::INFINITY;
         }
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0);
-        let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * mean;
+        let rate = warmth * self.set.fall_multiple * COLD_SHARE * mean;
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -31,8 +31,10 @@
     Some(server)
 }
 
-/// What one of `servers` carried each second before it was told cold, and what it was sent in each second after.
-fn around_a_cold_start(s: &Settings, gateways: u32, count: u32, seconds: usize) -> (f64, Vec<f64>) {
+/// What one of the servers carried each second before it was told cold with the first `cold` of them, and what it
+/// was sent in each second after.
+fn around_a_cold_start(s: &Settings, gateways: u32, count: u32, cold: u32) -> (f64, Vec<f64>) {
+    let seconds = 5;
     let mut rigs = fleet(gateways, s, &servers(count));
     let (mut sent, mut to_cold) = (0.0, vec![0.0; seconds]);
     for step in 0..70 + 10 * seconds {
@@ -40,7 +42,8 @@
         for (i, rig) in rigs.iter_mut().enumerate() {
             rig.now = now;
             if step == 70 {
-                rig.list(ListKind::Changes, vec![server("s000", Lifecycle::Running, now)]);
+                let fresh = |i| server(&format!("s{i:03}"), Lifecycle::Running, now);
+                rig.list(ListKind::Changes, (0..cold).map(fresh).collect());
             }
             if (i + step) % 5 == 0 {
                 let server = one(rig, &format!("{i}-{step}"), gateways);
@@ -59,7 +62,7 @@
     let mut s = settings();
     s.plans = vec![Plan::default()];
     for (gateways, count) in [(200, 9), (200, 60)] {
-        let (each, to_cold) = around_a_cold_start(&s, gateways, count, 5);
+        let (each, to_cold) = around_a_cold_start(&s, gateways, count, 1);
         for (age, sent) in to_cold.iter().enumerate() {
             let warmth = s.cold_from + (1.0 - s.cold_from) * age as f64 / s.cold;
             let may = s.fall_multiple * warmth * each * s.fall;
@@ -72,6 +75,20 @@
     }
 }
 
+/// The budget is what rule 4 allows, less the share kept free: an even part of the load would leave half of the
+/// capacity unused where half of a fleet is cold, and push the other half into overload.
+#[test]
+fn a_fleet_half_of_which_is_cold_plans_with_the_multiple_that_rule_four_allows() {
+    let to_cold = |fall_multiple: f64| {
+        let mut s = settings();
+        (s.plans, s.fall_multiple) = (vec![Plan::default()], fall_multiple);
+        let (_, to_cold) = around_a_cold_start(&s, 200, 60, 30);
+        to_cold.iter().sum::<f64>()
+    };
+    let (two, four) = (to_cold(2.0), to_cold(4.0));
+    assert!(four >= 2.0 * two && two > 0.0, "{two} sent at a multiple of 2, {four} at 4");
+}
+
 #[test]
 fn shares_under_one_request_keep_the_ceiling_even_when_most_gateways_restart() {
     let mut s = settings();
