--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -13,7 +13,7 @@
   "unsafe-again|src/logic.rs|Effect::Unsafe => None,|Effect::Unsafe => Some(None),|effects"
   "keyed-window|src/logic.rs|(self.now - first.sent < window).then_some|(self.now - first.sent < window + 1e6).then_some|effects"
   "drained|src/logic.rs|host.running = entry.lifecycle == Lifecycle::Running;|host.running = true;|drains"
-  "cold-budget|src/logic.rs|if score < least \&\& self.cold_room(at) >= 1.0 {|if score < least {|cold"
+  "cold-budget|src/logic.rs|if score < least \&\& self.cold_room(at, if i < near { near } else { count }) >= 1.0 {|if score < least {|cold"
   "ceiling-share|src/logic.rs|if plan.ceiling_rate > 0.0 { 0.0 } else {|if plan.ceiling_rate > 1e9 { 0.0 } else {|ceilings"
   "safe-share|src/logic.rs|if self.share_covers(\&key, plan, units) {|if true {|ceilings"
   "held-released|src/logic.rs|Some(Due::Hold(key)) => self.stop_holding(\&key, token),|Some(Due::Hold(_)) => {}|ceilings"
