--- a/src/logic.rs
+++ b/src/logic.rs
@@ -739,7 +739,7 @@
         // off the count, in proportion, so that the sum over all gateways is right. What is older
         // than a burst's refill has been paid: counted late it would refuse customers that are long full.
         let thin = plan.burst < f64::from(customer.spread) * need;
-        let ((off, asked), memory) = (&mut self.flows[self.customers[key].plan], plan.burst / plan.rate);
+        let ((off, asked), memory) = (&mut self.flows[customer.plan], plan.burst / plan.rate);
         note_demand(asked, self.now, if thin { need } else { 0.0 }, memory);
         note_demand(off, self.now, 0.0, memory);
         let thin = if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
