Membership without I/O: watchers on rings, accusations that evidence of life overrules

Change: crates/fleet decides from datagrams, time and a seed passed in: eight watchers a member on fixed rings, beats, accusations that the other watchers are asked about before all hear of them, gone when enough accuse and nobody contradicts; what one hears and is heard by, by direction; sealed datagrams that name the recipient's incarnation, so that nothing from before a sleep or restart is believed; a carrier for mergeable state with digests and deltas; a budget of 8,000 bytes a second. crates/proving plays members in virtual time under loss, cuts, stops, drifting clocks.

--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,754 @@
+//! One member's part in the fleet: what it does with each datagram, and at each turn of its timer.
+
+use crate::budget::Bucket;
+use crate::carrier::Shared;
+use crate::hearing::{Counters, Hearing, MemberView, View};
+use crate::links::Links;
+use crate::message::{Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
+use crate::registers::{Fact, Registers};
+use crate::rumors::Rumors;
+use crate::seal::Seal;
+use crate::table::{Change, Evidence, Heard, State, Table};
+use crate::{AWAY, BEAT, LEAST_KEY, Millis, SILENCE, WATCHERS};
+use fastrand::Rng;
+use serde::Serialize;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// Between two turns: a beat goes to one watcher a turn.
+const TURN: Millis = BEAT / WATCHERS as Millis;
+/// Bytes a second that are sent, and at once. It does not grow with the fleet.
+const BYTES: (u32, u32) = (8_000, 4_000);
+/// Beats and answers may overdraw the bytes by so much: what proves life goes before all that can wait.
+const OVERDRAFT: i64 = 2_000;
+/// Datagrams a second that are opened, and at once, whoever they are from: the budget of CPU.
+const OPENED: (u32, u32) = (1_000, 1_000);
+/// A turn that comes so much too late says that this process is short of time, not that others are dead.
+const LATE: Millis = 100;
+/// A new process that hears of a later life of its own number goes above it; later on it gives way instead.
+const STARTING: Millis = 3_000;
+/// Between two answers to a member that is not believed yet, and between two contradictions about one.
+const ANSWER: Millis = 200;
+/// See [`ANSWER`].
+const REBUT: Millis = 500;
+/// Accusers that make it likely enough that all have to know.
+const SPREAD: usize = 2;
+/// An accusation that nobody shares and nobody contradicts is told to all after so long, and again.
+const ACCUSE_AGAIN: Millis = 2_000;
+/// Beats between two looks for those who are out, two digests, and two writings of what this one says of itself.
+const ROUND: u32 = 4;
+/// Members whose newest beats ride on a datagram, as far as there is room.
+const COPIES: usize = 4;
+/// Bytes of a datagram kept for header, code, and the frames of parts.
+const FRAME: usize = 96;
+/// Pieces of a shared state that answer one digest.
+const PIECES: usize = 3;
+/// Bytes of a member's own register.
+const FACT: usize = 48;
+/// The kind of the members' own registers.
+const FACTS: u8 = 0;
+/// Kinds of shared state at most.
+const KINDS: usize = 8;
+/// Datagrams that wait to be sent. The shell sends all after each call, so that this is never reached.
+const OUTBOX: usize = 512;
+/// Events that wait to be read; beyond that the oldest are dropped.
+const EVENTS: usize = 4096;
+
+/// What a member is told at its start.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its number, from 0.
+    pub me: u16,
+    /// Where each member can be reached and sends from, this one included, by number.
+    pub members: Vec<SocketAddr>,
+    /// The fleet's key.
+    pub key: Vec<u8>,
+}
+
+/// Why a member cannot start.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum FleetError {
+    /// There is nobody else, or too many.
+    #[error("a fleet has 2 to 10,000 members, not {0}")]
+    Size(usize),
+    /// Its number is none of the fleet's.
+    #[error("member {0} of {1}: numbers run from 0")]
+    Number(u16, usize),
+    /// Two members have one address.
+    #[error("members {0} and {1} have the same address")]
+    Twice(usize, usize),
+    /// The key can be guessed.
+    #[error("a key of {0} bytes can be guessed: {LEAST_KEY} or more, at random")]
+    Key(usize),
+}
+
+/// Something that an operator wants to know.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Event {
+    /// A member's state became another.
+    Changed(Change),
+    /// This process stood still for so many milliseconds, and began anew.
+    Away(Millis),
+    /// An earlier life under this number had a later incarnation; this one went above it.
+    Above(u64),
+    /// Another process has this number since; this one takes no part any more.
+    Superseded(u64),
+    /// A member was told another size of the fleet.
+    OtherSize(u16, u16),
+}
+
+/// One member.
+pub struct Fleet {
+    me: u16,
+    members: Vec<SocketAddr>,
+    numbers: HashMap<SocketAddr, u16>,
+    seal: Seal,
+    rng: Rng,
+    incarnation: u64,
+    sequence: u64,
+    beat: u32,
+    /// Till when a later life of this number is taken for an earlier process's.
+    starting: Millis,
+    superseded: bool,
+    table: Table,
+    links: Links,
+    rumors: Rumors,
+    facts: Registers<Fact>,
+    /// What this incarnation wrote of itself last.
+    fact: Option<Fact>,
+    carried: Vec<Box<dyn Shared + Send>>,
+    /// The next turn, and which of a beat's turns it is.
+    due: Millis,
+    turn: usize,
+    /// The last time that this process did anything.
+    stirred: Millis,
+    /// Silence before this counts for nothing: this process was late itself.
+    floor: Millis,
+    /// Where the rotating copies of all members' beats are.
+    copied: u16,
+    defended: Option<Millis>,
+    bytes: Bucket,
+    opened: Bucket,
+    counters: Counters,
+    outbox: VecDeque<(SocketAddr, Vec<u8>)>,
+    events: VecDeque<Event>,
+    related: bool,
+}
+
+impl Fleet {
+    /// A member that knows nobody yet. `incarnation` is the wall clock in milliseconds, as a first guess that mostly
+    /// lies above that of any earlier life; where it does not, the others say so.
+    ///
+    /// # Errors
+    /// The settings cannot work.
+    pub fn new(settings: Settings, incarnation: u64, seed: u64, now: Millis) -> Result<Self, FleetError> {
+        let Settings { me, members, key } = settings;
+        let count = members.len();
+        let size = u16::try_from(count).ok().filter(|size| (2..=10_000).contains(size));
+        let size = size.ok_or(FleetError::Size(count))?;
+        if me >= size {
+            return Err(FleetError::Number(me, count));
+        }
+        let mut numbers = HashMap::with_capacity(count);
+        for (number, address) in (0u16..).zip(&members) {
+            if let Some(first) = numbers.insert(*address, number) {
+                return Err(FleetError::Twice(first.into(), number.into()));
+            }
+        }
+        Ok(Self {
+            me,
+            members,
+            numbers,
+            seal: Seal::new(&key).ok_or(FleetError::Key(key.len()))?,
+            rng: Rng::with_seed(seed),
+            incarnation: incarnation.clamp(1, MOST_INCARNATION / 2),
+            sequence: 0,
+            beat: 0,
+            starting: now + STARTING,
+            superseded: false,
+            table: Table::new(size, me, now),
+            links: Links::new(size, me, now),
+            rumors: Rumors::new(size),
+            facts: Registers::new(size, FACT),
+            fact: None,
+            carried: Vec::new(),
+            due: now,
+            turn: 0,
+            stirred: now,
+            floor: now,
+            copied: 0,
+            defended: None,
+            bytes: Bucket::new(BYTES.0, BYTES.1, now),
+            opened: Bucket::new(OPENED.0, OPENED.1, now),
+            counters: Counters::default(),
+            outbox: VecDeque::new(),
+            events: VecDeque::new(),
+            related: false,
+        })
+    }
+
+    /// Carries one more shared state, less urgent than those before. Tells its kind; `None` where there are too many.
+    pub fn carry(&mut self, state: Box<dyn Shared + Send>) -> Option<u8> {
+        if self.carried.len() + 1 >= KINDS {
+            return None;
+        }
+        self.carried.push(state);
+        u8::try_from(self.carried.len()).ok()
+    }
+
+    /// A shared state by its kind.
+    pub fn shared(&mut self, kind: u8) -> Option<&mut (dyn Shared + Send)> {
+        match kind {
+            FACTS => Some(&mut self.facts),
+            _ => self.carried.get_mut(usize::from(kind) - 1).map(|state| &mut **state as _),
+        }
+    }
+
+    /// What is believed of the others.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// This one's incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// What was sent, received, refused.
+    pub fn counters(&self) -> Counters {
+        Counters { rumors_dropped: self.rumors.dropped(), ..self.counters }
+    }
+
+    /// The next datagram to send.
+    pub fn transmit(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.outbox.pop_front()
+    }
+
+    /// The next event.
+    pub fn event(&mut self) -> Option<Event> {
+        self.events.pop_front()
+    }
+
+    /// When [`Fleet::advance`] is due.
+    pub fn next_deadline(&self) -> Millis {
+        self.due
+    }
+
+    /// How much of the fleet this one hears and is heard by. Whoever acts on it passes the present time, so that a
+    /// process that was away learns it here at the latest.
+    pub fn hearing(&mut self, now: Millis) -> Hearing {
+        self.stir(now);
+        let count = |members: &[u16], is: &dyn Fn(u16) -> bool| {
+            u16::try_from(members.iter().filter(|member| is(**member)).count()).unwrap_or(u16::MAX)
+        };
+        let Links { watchers, subjects, .. } = &self.links;
+        let all: Vec<u16> = self.table.others().collect();
+        let alive = |member| matches!(self.table.state(member), State::Alive | State::Suspected);
+        Hearing {
+            others: self.table.size() - 1,
+            alive: count(&all, &alive),
+            expected: count(subjects, &|_| true),
+            heard: count(subjects, &|member| self.links.hears(member, now)),
+            watchers: count(watchers, &|_| true),
+            confirmed: count(watchers, &|member| self.links.confirmed(member, now)),
+            denied: count(watchers, &|member| self.denies(member)),
+            age_ms: self.links.last.map(|last| now.saturating_sub(last)),
+            superseded: self.superseded,
+        }
+    }
+
+    fn denies(&self, member: u16) -> bool {
+        self.facts.read(member).is_some_and(|fact| fact.deaf.contains(&self.me))
+    }
+
+    /// All that this one believes.
+    pub fn view(&mut self, now: Millis) -> View {
+        let hearing = self.hearing(now);
+        let member = |number: u16| {
+            let record = self.table.record(number);
+            let ever = record.newest.incarnation > 0;
+            MemberView {
+                number,
+                state: record.state,
+                for_ms: now.saturating_sub(record.since),
+                incarnation: record.newest.incarnation,
+                age_ms: ever.then(|| now.saturating_sub(record.lived)),
+                direct_ms: self.links.get(number).heard.map(|at| now.saturating_sub(at)),
+                denies: self.denies(number),
+            }
+        };
+        View {
+            number: self.me,
+            incarnation: self.incarnation,
+            hearing,
+            members: self.table.others().map(member).collect(),
+            counters: self.counters(),
+            rumors: self.rumors.len(),
+        }
+    }
+
+    /// Does what is due.
+    pub fn advance(&mut self, now: Millis) {
+        self.stir(now);
+        if now >= self.due + LATE {
+            // What came in meanwhile is not read yet.
+            self.floor = self.floor.max((now + 2 * BEAT).saturating_sub(SILENCE));
+            self.table.hold(now + 2 * BEAT);
+            // Beats that were not sent are counted, so that the next one contradicts who missed them; and it goes to all
+            // watchers at once, as the next standstill may be near.
+            self.beat += u32::try_from((now - self.due) / BEAT).unwrap_or(0);
+            self.due = now.saturating_sub((WATCHERS as Millis - 1) * TURN);
+        }
+        while self.due <= now {
+            self.due += TURN;
+            if !self.superseded {
+                self.take_turn(now);
+            }
+        }
+        self.report();
+    }
+
+    /// Finds out whether this process was away, before anything is done.
+    fn stir(&mut self, now: Millis) {
+        let away = now.saturating_sub(self.stirred);
+        self.stirred = self.stirred.max(now);
+        if away < AWAY || self.superseded {
+            return;
+        }
+        // Under another incarnation, what still waits in the socket is known for what it is: from before.
+        self.begin(self.incarnation + 1);
+        self.table.woke(now);
+        self.links.woke();
+        self.rumors.clear();
+        self.related = false;
+        (self.due, self.floor) = (now, now);
+        self.counters.away += 1;
+        self.tell(Event::Away(away));
+    }
+
+    fn begin(&mut self, incarnation: u64) {
+        (self.incarnation, self.sequence, self.beat) = (incarnation, 0, 0);
+        self.fact = None; // What an earlier life wrote does not hold for this one.
+    }
+
+    fn tell(&mut self, event: Event) {
+        if self.events.len() >= EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(event);
+    }
+
+    fn report(&mut self) {
+        for change in self.table.changes() {
+            let was_out = change.from == State::Gone || change.to == State::Gone;
+            self.related &= !was_out;
+            self.tell(Event::Changed(change));
+        }
+    }
+
+    /// One turn: a beat to one watcher, an answer to one subject; once a beat, what is decided.
+    fn take_turn(&mut self, now: Millis) {
+        if self.turn == 0 {
+            self.beat += 1;
+            if !std::mem::replace(&mut self.related, true) {
+                self.links.relate(&self.table, now);
+            }
+            self.accuse(now);
+            self.table.judge(self.links.deaf(now), now);
+            if self.beat.is_multiple_of(ROUND) {
+                self.look_around(now);
+            }
+        }
+        let turn = self.turn;
+        self.turn = (turn + 1) % WATCHERS;
+        if let Some(watcher) = self.links.watchers.get(turn).copied() {
+            self.send(watcher, false, Vec::new(), now);
+        }
+        for guest in self.links.guests(turn, now) {
+            self.send(guest, false, Vec::new(), now);
+        }
+        if let Some(subject) = self.links.subjects.get(turn).copied() {
+            self.attend(subject, now);
+        }
+    }
+
+    /// Tells a subject that it is heard, or asks for its beats.
+    fn attend(&mut self, subject: u16, now: Millis) {
+        let link = self.links.get(subject);
+        let missed = link.heard.is_none_or(|heard| now.saturating_sub(heard) >= 2 * BEAT);
+        let quiet = link.sent.is_none_or(|sent| now.saturating_sub(sent) >= 2 * BEAT);
+        if missed || quiet {
+            self.send(subject, missed, Vec::new(), now);
+        }
+    }
+
+    /// Accuses the subjects that are silent for too long.
+    fn accuse(&mut self, now: Millis) {
+        for member in self.links.subjects.clone() {
+            let (link, record) = (self.links.get(member), self.table.record(member));
+            let since = record.lived.max(self.floor).max(link.watched.unwrap_or(now));
+            let again = link.accused.is_none_or(|at| now.saturating_sub(at) >= ACCUSE_AGAIN);
+            let silent = now.saturating_sub(since) >= link.patience();
+            if !silent || !again || record.state == State::Gone {
+                continue;
+            }
+            let first = link.accused.is_none();
+            self.links.of(member).accused = Some(now);
+            let last = self.table.newest(member);
+            self.table.accused(member, &[self.me], last, now);
+            if first && self.table.record(member).accusers.len() < SPREAD {
+                self.ask_fellows(member, now);
+            } else {
+                self.spread(member);
+            }
+        }
+    }
+
+    /// Asks the other watchers of a silent member: with a lossy link most accusations end here.
+    fn ask_fellows(&mut self, member: u16, now: Millis) {
+        for fellow in self.links.fellows(member, &self.table) {
+            let accusation = self.silent(member, false);
+            self.send(fellow, false, vec![accusation], now);
+        }
+    }
+
+    fn silent(&self, member: u16, news: bool) -> Part {
+        let Evidence { incarnation, beat } = self.table.newest(member);
+        let by = self.table.record(member).accusers.iter().map(|(by, _)| *by).collect();
+        Part::Silent { member, incarnation, beat, by, news }
+    }
+
+    /// Passes on who accuses a member.
+    fn spread(&mut self, member: u16) {
+        let accusation = self.silent(member, true);
+        self.rumors.tell(accusation);
+    }
+
+    /// Looks for one that is out or unknown, writes what this one says of itself, and compares shared state with one
+    /// that lives.
+    fn look_around(&mut self, now: Millis) {
+        let fact = Fact { deaf: self.links.deaf_to(&self.table, now) };
+        let known = self.fact.as_ref() == Some(&fact);
+        if !known && self.facts.write(self.me, self.incarnation, &fact).is_ok() {
+            self.fact = Some(fact);
+        }
+        let (there, away): (Vec<u16>, Vec<u16>) =
+            self.table.others().partition(|member| self.table.state(*member) == State::Alive);
+        if let Some(member) = self.rng.choice(away) {
+            self.send(member, false, Vec::new(), now);
+        }
+        if let Some(member) = self.rng.choice(there) {
+            let digests = self.digests();
+            self.send(member, false, digests, now);
+        }
+    }
+
+    /// Digests of all kinds, in the order of their urgency, as far as a datagram holds them.
+    fn digests(&mut self) -> Vec<Part> {
+        let mut room = MOST_BYTES - FRAME;
+        let mut digests = Vec::new();
+        for kind in 0..=self.carried.len() {
+            let kind = u8::try_from(kind).unwrap_or(u8::MAX);
+            let digest = self.shared(kind).map(|state| state.digest(room / 2)).unwrap_or_default();
+            let part = Part::Digest { kind, digest };
+            room = room.saturating_sub(part.bytes());
+            digests.push(part);
+        }
+        digests
+    }
+
+    /// Sends a datagram: what it is for, and what else there is to tell as far as bytes allow.
+    fn send(&mut self, to: u16, watch: bool, mut parts: Vec<Part>, now: Millis) {
+        let level = self.bytes.level(now);
+        if level < -OVERDRAFT || self.outbox.len() >= OUTBOX {
+            self.counters.put_off += 1;
+            return;
+        }
+        let taken: usize = parts.iter().map(Part::bytes).sum();
+        let room = usize::try_from(level).unwrap_or(0).min(MOST_BYTES - FRAME).saturating_sub(taken);
+        parts.extend(self.fill(room, now));
+        let knows = self.table.newest(to).incarnation;
+        self.post(to, knows, watch, parts, now);
+    }
+
+    /// Rumours, then news of shared state by urgency, then copies of beats.
+    fn fill(&mut self, mut room: usize, now: Millis) -> Vec<Part> {
+        let mut parts = self.rumors.next(room);
+        room -= parts.iter().map(Part::bytes).sum::<usize>().min(room);
+        for kind in 0..=u8::try_from(self.carried.len()).unwrap_or(0) {
+            let piece = self.shared(kind).and_then(|state| state.news(room.saturating_sub(4)));
+            if let Some(piece) = piece {
+                let part = Part::Piece { kind, piece };
+                room = room.saturating_sub(part.bytes());
+                parts.push(part);
+            }
+        }
+        for _ in 0..COPIES {
+            self.copied = (self.copied + 1) % self.table.size();
+            let known = self.copied != self.me && self.table.state(self.copied) == State::Alive;
+            if known && room >= FRAME {
+                let part = self.life(self.copied, false, now);
+                room -= part.bytes();
+                parts.push(part);
+            }
+        }
+        parts
+    }
+
+    /// What is known of a member's life, or of one's own.
+    fn life(&self, member: u16, news: bool, now: Millis) -> Part {
+        if member == self.me {
+            return Part::Life { member, incarnation: self.incarnation, beat: self.beat, age: 0, news };
+        }
+        let Evidence { incarnation, beat } = self.table.newest(member);
+        Part::Life { member, incarnation, beat, age: self.table.age(member, now), news }
+    }
+
+    fn post(&mut self, to: u16, knows: u64, watch: bool, parts: Vec<Part>, now: Millis) {
+        self.sequence += 1;
+        let header = Header {
+            size: self.table.size(),
+            from: self.me,
+            to,
+            incarnation: self.incarnation,
+            knows,
+            sequence: self.sequence,
+            beat: self.beat,
+            hears: self.links.hears(to, now),
+            watch,
+        };
+        let Ok(bytes) = postcard::to_allocvec(&Packet { header, parts }) else { return };
+        let bytes = self.seal.close(bytes);
+        debug_assert!(bytes.len() <= MOST_BYTES);
+        self.bytes.draw(bytes.len());
+        self.links.of(to).sent = Some(now);
+        self.counters.sent += 1;
+        self.counters.sent_bytes += bytes.len() as u64;
+        self.outbox.push_back((self.members[usize::from(to)], bytes));
+    }
+
+    /// Takes in a datagram.
+    pub fn receive(&mut self, from: SocketAddr, bytes: &[u8], now: Millis) {
+        self.stir(now);
+        self.counters.received_bytes += bytes.len() as u64;
+        if self.superseded {
+            return;
+        }
+        if let Some(packet) = self.open(from, bytes, now) {
+            self.weigh(packet, now);
+        }
+        self.report();
+    }
+
+    /// Checks a datagram, the cheapest first, and counts what is refused.
+    fn open(&mut self, from: SocketAddr, bytes: &[u8], now: Millis) -> Option<Packet> {
+        let Some(member) = self.numbers.get(&from).copied().filter(|member| *member != self.me) else {
+            self.counters.misplaced += 1;
+            return None;
+        };
+        if bytes.len() > MOST_BYTES {
+            self.counters.oversized += 1;
+            return None;
+        }
+        if !self.links.of(member).read.take(now) || !self.opened.take(now) {
+            self.counters.flooded += 1;
+            return None;
+        }
+        let Some(content) = self.seal.open(bytes) else {
+            self.counters.forged += 1;
+            return None;
+        };
+        let Ok((packet, [])) = postcard::take_from_bytes::<Packet>(content) else {
+            self.counters.malformed += 1;
+            return None;
+        };
+        if packet.header.size != self.table.size() {
+            self.counters.other_size += 1;
+            self.tell(Event::OtherSize(member, packet.header.size));
+            return None;
+        }
+        if !packet.fits(self.table.size()) {
+            self.counters.malformed += 1;
+            return None;
+        }
+        if packet.header.from != member {
+            self.counters.misplaced += 1;
+            return None;
+        }
+        if packet.header.to != self.me {
+            self.counters.misdelivered += 1;
+            return None;
+        }
+        Some(packet)
+    }
+
+    /// Believes a datagram that was sent to this incarnation by the sender's newest one, once. Others are answered,
+    /// so that their sender learns what it lacks.
+    fn weigh(&mut self, Packet { header, parts }: Packet, now: Millis) {
+        let from = header.from;
+        if header.knows > self.incarnation {
+            self.another(header.knows, now);
+        }
+        let known = self.table.newest(from).incarnation;
+        if header.incarnation < known {
+            self.counters.stale += 1;
+            return self.greet(from, known, now);
+        }
+        if header.knows != self.incarnation {
+            self.counters.unproven += 1;
+            return self.greet(from, header.incarnation, now);
+        }
+        let link = self.links.of(from);
+        if header.incarnation > link.proven {
+            (link.proven, link.window) = (header.incarnation, Default::default());
+        }
+        if header.incarnation < link.proven || !link.window.take(header.sequence) {
+            self.counters.replayed += 1;
+            return;
+        }
+        self.counters.received += 1;
+        self.heard(&header, now);
+        for part in parts {
+            self.learn(from, part, now);
+        }
+    }
+
+    /// Answers one that does not know this incarnation, or its own number's newest.
+    fn greet(&mut self, to: u16, knows: u64, now: Millis) {
+        let link = self.links.of(to);
+        let lately = link.greeted.is_some_and(|at| now.saturating_sub(at) < ANSWER);
+        if lately || self.superseded || self.bytes.level(now) < -OVERDRAFT {
+            return;
+        }
+        link.greeted = Some(now);
+        self.post(to, knows, false, Vec::new(), now);
+    }
+
+    /// There is, or was, a later life of this number.
+    fn another(&mut self, incarnation: u64, now: Millis) {
+        if now < self.starting {
+            self.begin(incarnation + 1);
+            self.tell(Event::Above(incarnation));
+        } else if !self.superseded {
+            self.superseded = true;
+            self.tell(Event::Superseded(incarnation));
+        }
+    }
+
+    /// The sender itself is heard.
+    fn heard(&mut self, header: &Header, now: Millis) {
+        let evidence = Evidence { incarnation: header.incarnation, beat: header.beat };
+        // A datagram that was overtaken by far says nothing of now.
+        if evidence >= self.table.newest(header.from) {
+            self.links.last = Some(now);
+            let link = self.links.of(header.from);
+            link.heard = Some(now);
+            if header.hears {
+                link.confirmed = Some(now);
+            }
+        }
+        self.lives(header.from, evidence, 0, true, now);
+        if header.watch {
+            self.links.invite(header.from, now);
+            let lately = self.links.get(header.from).sent.is_some_and(|at| now.saturating_sub(at) < ANSWER);
+            if !lately {
+                self.send(header.from, false, Vec::new(), now);
+            }
+        }
+    }
+
+    fn lives(&mut self, member: u16, evidence: Evidence, age: Millis, tell: bool, now: Millis) {
+        if evidence > self.table.newest(member) {
+            self.links.of(member).lives(age == 0);
+        }
+        if self.table.alive(member, evidence, age, now) && tell {
+            let life = self.life(member, true, now);
+            self.rumors.tell(life);
+        }
+    }
+
+    fn learn(&mut self, from: u16, part: Part, now: Millis) {
+        match part {
+            Part::Life { member, incarnation, beat, age, news } if member != self.me => {
+                let (evidence, age) = (Evidence { incarnation, beat }, 100 * Millis::from(age).max(1));
+                self.lives(member, evidence, age, news, now);
+            }
+            Part::Life { incarnation, .. } if incarnation > self.incarnation => {
+                self.another(incarnation, now)
+            }
+            Part::Life { .. } => {}
+            Part::Silent { member, incarnation, beat, by, news } => {
+                let asked = (!news).then_some(from);
+                self.accusation(member, &by, Evidence { incarnation, beat }, asked, now);
+            }
+            Part::Digest { kind, digest } => self.compare(from, kind, &digest, now),
+            Part::Piece { kind, piece } => {
+                let merged = self.shared(kind).map(|state| state.merge(&piece));
+                if !matches!(merged, Some(Ok(_))) {
+                    self.counters.unreadable += 1;
+                }
+            }
+        }
+    }
+
+    /// Watchers say that a member is silent; `asked` is the one that wants to know what is heard here.
+    fn accusation(&mut self, member: u16, by: &[u16], last: Evidence, asked: Option<u16>, now: Millis) {
+        if member == self.me {
+            return self.defend(now);
+        }
+        match self.table.accused(member, by, last, now) {
+            Heard::Old => {}
+            Heard::Stands => {
+                if asked.is_none() || self.table.record(member).accusers.len() >= SPREAD {
+                    self.spread(member);
+                }
+            }
+            Heard::Contradicted => match asked {
+                Some(asker) => {
+                    let life = self.life(member, false, now);
+                    self.send(asker, false, vec![life], now);
+                }
+                None => self.contradict(member, now),
+            },
+        }
+    }
+
+    /// Tells all that this one lives.
+    fn defend(&mut self, now: Millis) {
+        let lately = self.defended.is_some_and(|at| now.saturating_sub(at) < REBUT);
+        if !lately {
+            self.defended = Some(now);
+            let life = self.life(self.me, true, now);
+            self.rumors.tell(life);
+        }
+    }
+
+    /// Tells all that a member lived later than its accusers know.
+    fn contradict(&mut self, member: u16, now: Millis) {
+        let link = self.links.of(member);
+        let lately = link.rebutted.is_some_and(|at| now.saturating_sub(at) < REBUT);
+        if !lately {
+            link.rebutted = Some(now);
+            let life = self.life(member, true, now);
+            self.rumors.tell(life);
+        }
+    }
+
+    /// Gives what the sender of a digest lacks, as far as bytes allow; it asks again.
+    fn compare(&mut self, from: u16, kind: u8, digest: &[u8], now: Millis) {
+        let delta = self.shared(kind).map(|state| state.delta(digest, MOST_BYTES - FRAME, PIECES));
+        let Some(Ok(pieces)) = delta else {
+            self.counters.unreadable += 1;
+            return;
+        };
+        for piece in pieces {
+            if self.bytes.level(now) < i64::try_from(piece.len()).unwrap_or(i64::MAX) {
+                self.counters.put_off += 1;
+                return;
+            }
+            let knows = self.table.newest(from).incarnation;
+            self.post(from, knows, false, vec![Part::Piece { kind, piece }], now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,51 @@
+//! Gatekeepers that know of each other: who is alive, how much of the fleet one hears and is heard by, and a
+//! carrier for state that they share. Without I/O: datagrams, time and randomness are passed in.
+//!
+//! How it works, and why so: docs/fleet.md. In short: each member sends a beat to eight watchers, the next live
+//! ones on eight fixed rings. A watcher that hears nothing says so to all; anybody who has heard more recently
+//! contradicts. A member is gone when enough watchers have said so and nobody contradicted in time. Only evidence
+//! of life is believed over accusations, so a broken link never costs a member its place.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod budget;
+mod carrier;
+mod fleet;
+mod hearing;
+mod links;
+mod message;
+mod registers;
+mod replay;
+mod rings;
+mod rumors;
+mod seal;
+mod table;
+
+pub use budget::Bucket;
+pub use carrier::{Malformed, Shared};
+pub use fleet::{Event, Fleet, FleetError, Settings};
+pub use hearing::{Counters, Hearing, MemberView, View};
+pub use message::{Header, MOST_BYTES, Packet, Part};
+pub use registers::{Fact, Registers};
+pub use replay::Window;
+pub use rings::Rings;
+pub use seal::{LEAST_KEY, Seal};
+pub use table::{Change, Evidence, State, Table};
+
+/// Milliseconds on the process's monotonic clock, from any origin.
+pub type Millis = u64;
+
+/// Between two beats of a member to each of its watchers, in milliseconds.
+pub const BEAT: Millis = 240;
+/// Watchers of each member, one a ring.
+pub const WATCHERS: usize = 8;
+/// Without a beat for so long, a watcher says so: four beats lost in a row, and a little for late timers.
+pub const SILENCE: Millis = 1_000;
+/// A process whose own timers stood still for so long has been away: its beliefs are too old to act on.
+pub const AWAY: Millis = SILENCE;
+
+/// With no evidence of life at all, by any way, a member is gone after so long: what the rotating copies of all
+/// members' beats take to come around, which grows with the fleet.
+pub fn forgotten_after(size: u16) -> Millis {
+    10_000 + 50 * Millis::from(size)
+}
--- /dev/null
+++ b/crates/fleet/tests/datagrams.rs
@@ -0,0 +1,138 @@
+//! What is read from the wire, by parts.
+
+use proptest::prelude::*;
+use weirusher_fleet::{Bucket, Fleet, Header, Packet, Part, Rings, Seal, Settings, WATCHERS, Window};
+
+const KEY: &[u8] = b"a key for tests, of 32 bytes and more";
+
+fn header(from: u16, to: u16) -> Header {
+    Header { size: 4, from, to, incarnation: 7, knows: 9, sequence: 1, beat: 3, hears: true, watch: false }
+}
+
+fn fleet() -> Fleet {
+    let members = (0..4).map(|n| ([127, 0, 0, 1], 2000 + n).into()).collect();
+    Fleet::new(Settings { me: 0, members, key: KEY.to_vec() }, 9, 1, 0).unwrap()
+}
+
+fn sealed(packet: &Packet) -> Vec<u8> {
+    Seal::new(KEY).unwrap().close(postcard::to_allocvec(packet).unwrap())
+}
+
+#[test]
+fn each_sequence_number_is_taken_once_in_any_order_within_the_window() {
+    let mut window = Window::default();
+    let taken = [1, 3, 2, 3, 70, 7, 6, 70, 71, 5, 0, u64::MAX, 71].map(|n| window.take(n));
+    let expected = [true, true, true, false, true, true, false, false, true, false, false, true, false];
+    assert_eq!(taken, expected);
+}
+
+#[test]
+fn a_bucket_pays_back_before_it_gives_again() {
+    let mut bucket = Bucket::new(100, 50, 0);
+    bucket.draw(150);
+    assert_eq!(bucket.level(0), -100);
+    assert!(!bucket.take(1_000));
+    assert!(bucket.take(1_010) && !bucket.take(1_010));
+    assert_eq!(bucket.level(100_000), 50);
+    assert_eq!(bucket.level(0), 50, "time that runs backwards gives and takes nothing");
+}
+
+#[test]
+fn all_watch_and_are_watched_whoever_is_out() {
+    for size in [2u16, 3, 9, 10, 40, 300] {
+        let rings = Rings::new(size);
+        for out in [0u16, 2, 3] {
+            let gone = |member: u16| out > 0 && member.is_multiple_of(out);
+            for member in (0..size).filter(|member| !gone(*member)) {
+                let live = (0..size).filter(|other| *other != member && !gone(*other)).count();
+                for near in [rings.watchers(member, gone), rings.subjects(member, gone)] {
+                    assert!(near.len() <= WATCHERS && near.len() >= live.min(3), "{size} {out}: {near:?}");
+                    assert!(near.iter().all(|other| *other != member && !gone(*other)));
+                }
+                // Who is watched by one sends its beats there.
+                for subject in rings.subjects(member, gone) {
+                    assert!(rings.watchers(subject, gone).contains(&member), "{size} {out}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn numbers_outside_the_fleet_are_refused_before_any_table_is_asked() {
+    let life = |member, incarnation| Part::Life { member, incarnation, beat: 1, age: 0, news: true };
+    let silent = |member, by| Part::Silent { member, incarnation: 1, beat: 1, by, news: true };
+    let bad = [
+        (header(1, 0), life(4, 1)),
+        (header(1, 0), life(2, 0)),
+        (header(1, 0), life(2, u64::MAX)),
+        (header(1, 0), silent(4, vec![1])),
+        (header(1, 0), silent(2, vec![4])),
+        (header(1, 0), silent(2, vec![2])),
+        (header(1, 0), silent(2, vec![0, 1, 3, 0])),
+        (header(1, 1), life(2, 1)),
+        (header(4, 0), life(2, 1)),
+        (Header { incarnation: 0, ..header(1, 0) }, life(2, 1)),
+        (Header { knows: u64::MAX, ..header(1, 0) }, life(2, 1)),
+    ];
+    let mut fleet = fleet();
+    for (at, (header, part)) in bad.into_iter().enumerate() {
+        fleet.receive(([127, 0, 0, 1], 2001).into(), &sealed(&Packet { header, parts: vec![part] }), 1);
+        assert_eq!(fleet.counters().malformed, at as u64 + 1);
+    }
+    let good = Packet { header: header(1, 0), parts: vec![life(2, 1), silent(3, vec![1])] };
+    fleet.receive(([127, 0, 0, 1], 2001).into(), &sealed(&good), 1);
+    assert_eq!((fleet.counters().malformed, fleet.counters().received), (11, 1));
+}
+
+#[test]
+fn settings_that_cannot_work_are_refused() {
+    let start = |me, ports: &[u16], key: &[u8]| {
+        let members = ports.iter().map(|port| ([127, 0, 0, 1], *port).into()).collect();
+        Fleet::new(Settings { me, members, key: key.to_vec() }, 1, 1, 0).map(|_| ()).unwrap_err().to_string()
+    };
+    assert_eq!(start(0, &[1], KEY), "a fleet has 2 to 10,000 members, not 1");
+    assert_eq!(start(2, &[1, 2], KEY), "member 2 of 2: numbers run from 0");
+    assert_eq!(start(0, &[1, 2, 1], KEY), "members 0 and 2 have the same address");
+    assert!(start(0, &[1, 2], b"short").contains("can be guessed"));
+}
+
+#[test]
+fn no_more_kinds_of_state_are_carried_than_a_datagram_has_room_for() {
+    let mut fleet = fleet();
+    let kinds = std::iter::from_fn(|| fleet.carry(Box::new(weirusher_fleet::Registers::<u8>::new(4, 8))));
+    assert_eq!(kinds.collect::<Vec<_>>(), (1..8).collect::<Vec<u8>>());
+}
+
+proptest! {
+    /// Whatever comes with the right code, from whichever member: no panic, and no more is held than before.
+    #[test]
+    fn any_content_with_the_right_code_is_survived(
+        contents in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 1..20),
+        proven in any::<bool>(),
+    ) {
+        let mut fleet = fleet();
+        for (at, content) in contents.into_iter().enumerate() {
+            let mut bytes = Vec::new();
+            if proven {
+                let header = Header { sequence: at as u64 + 1, ..header(1, 0) };
+                bytes = postcard::to_allocvec(&header).unwrap();
+            }
+            bytes.extend(content);
+            let sealed = Seal::new(KEY).unwrap().close(bytes);
+            fleet.receive(([127, 0, 0, 1], 2001).into(), &sealed, at as u64);
+            fleet.advance(at as u64);
+            while fleet.transmit().is_some() {}
+        }
+    }
+
+    #[test]
+    fn what_is_altered_anywhere_is_refused(byte in 0usize..40, bit in 0u8..8) {
+        let mut bytes = sealed(&Packet { header: header(1, 0), parts: Vec::new() });
+        let at = byte % bytes.len();
+        bytes[at] ^= 1 << bit;
+        let mut fleet = fleet();
+        fleet.receive(([127, 0, 0, 1], 2001).into(), &bytes, 1);
+        prop_assert_eq!((fleet.counters().forged, fleet.counters().received), (1, 0));
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/shared_state.rs
@@ -0,0 +1,117 @@
+//! What every shared state must keep: pieces may be lost, doubled, mixed; sizes are bounded; what differs is found.
+
+use proptest::prelude::*;
+use weirusher_fleet::{Fact, Registers, Shared};
+
+const SIZE: u16 = 150;
+const MOST: usize = 48;
+
+/// Writings as members make them: each member's own, under growing stamps.
+type Writings = Vec<(u16, u64, Vec<u16>)>;
+
+fn writings() -> impl Strategy<Value = Writings> {
+    prop::collection::vec((0..SIZE, 1u64..5, prop::collection::vec(0..SIZE, 0..8)), 0..40)
+}
+
+/// One state a writer, each with its own writings only.
+fn written(writings: &Writings) -> Registers<Fact> {
+    let mut state = Registers::new(SIZE, MOST);
+    for (member, incarnation, deaf) in writings {
+        state.write(*member, *incarnation, &Fact { deaf: deaf.clone() }).unwrap();
+    }
+    state
+}
+
+fn copy(state: &Registers<Fact>) -> Vec<Vec<u8>> {
+    state.delta(&[], 1000, usize::MAX).unwrap()
+}
+
+fn contents(state: &Registers<Fact>) -> Vec<Option<Fact>> {
+    (0..SIZE).map(|member| state.read(member)).collect()
+}
+
+fn merged(pieces: &[&Vec<u8>]) -> Registers<Fact> {
+    let mut state = Registers::new(SIZE, MOST);
+    for piece in pieces {
+        state.merge(piece).unwrap();
+    }
+    state
+}
+
+proptest! {
+    #[test]
+    fn merging_is_commutative_associative_and_idempotent(a in writings(), b in writings(), c in writings()) {
+        let [a, b, c] = [a, b, c].map(|w| copy(&written(&w)));
+        let (ab, ba): (Vec<_>, Vec<_>) = (a.iter().chain(&b).collect(), b.iter().chain(&a).collect());
+        prop_assert_eq!(contents(&merged(&ab)), contents(&merged(&ba)));
+        let bc = copy(&merged(&b.iter().chain(&c).collect::<Vec<_>>()));
+        let left = copy(&merged(&ab));
+        let left = merged(&left.iter().chain(&c).collect::<Vec<_>>());
+        let right = merged(&a.iter().chain(&bc).collect::<Vec<_>>());
+        prop_assert_eq!(contents(&left), contents(&right));
+        let twice = merged(&ab.iter().chain(&ab).copied().collect::<Vec<_>>());
+        prop_assert_eq!(contents(&twice), contents(&merged(&ab)));
+    }
+
+    #[test]
+    fn digests_find_what_differs_whatever_is_lost(a in writings(), b in writings(), lost in any::<u64>()) {
+        let (mut a, mut b) = (written(&a), written(&b));
+        let mut rng = fastrand::Rng::with_seed(lost);
+        for _ in 0..200 {
+            let (ask_a, ask_b) = (a.digest(400), b.digest(400));
+            prop_assert!(ask_a.len() <= 400 && ask_b.len() <= 400);
+            for piece in b.delta(&ask_a, 200, 2).unwrap() {
+                prop_assert!(piece.len() <= 200);
+                if rng.bool() { a.merge(&piece).unwrap(); }
+            }
+            for piece in a.delta(&ask_b, 200, 2).unwrap() {
+                if rng.bool() { b.merge(&piece).unwrap(); }
+            }
+        }
+        prop_assert_eq!(contents(&a), contents(&b));
+        let ask = a.digest(1000);
+        prop_assert!(b.delta(&ask, 1000, 9).unwrap().is_empty(), "equal states have nothing to give");
+    }
+
+    #[test]
+    fn what_is_not_of_the_form_is_refused_whole(bytes in prop::collection::vec(any::<u8>(), 0..200), a in writings()) {
+        let mut state = written(&a);
+        let before = contents(&state);
+        if state.merge(&bytes).is_err() {
+            prop_assert_eq!(contents(&state), before);
+        }
+        let _ = state.delta(&bytes, 1000, 3); // It must not panic, whatever it says.
+        prop_assert!(state.delta(&[], 1000, usize::MAX).unwrap().iter().all(|piece| piece.len() <= 1000));
+    }
+}
+
+#[test]
+fn the_newest_writing_wins_also_under_a_clock_that_stands_earlier() {
+    let fact = |n: u16| Fact { deaf: vec![n] };
+    let mut state = Registers::new(4, MOST);
+    state.write(1, 1000, &fact(1)).unwrap();
+    state.write(1, 900, &fact(2)).unwrap();
+    state.write(1, 900, &fact(3)).unwrap();
+    assert_eq!(state.read(1), Some(fact(3)));
+    let mut other = Registers::new(4, MOST);
+    other.write(1, 1000, &fact(1)).unwrap();
+    copy(&state).iter().for_each(|piece| assert_eq!(other.merge(piece), Ok(true)));
+    assert_eq!(other.read(1), Some(fact(3)));
+    copy(&state).iter().for_each(|piece| assert_eq!(other.merge(piece), Ok(false)));
+}
+
+#[test]
+fn a_value_larger_than_a_register_is_refused() {
+    let mut state = Registers::new(4, MOST);
+    assert!(state.write(1, 1, &Fact { deaf: vec![60_000; 30] }).is_err());
+    assert_eq!(state.read(1), None);
+}
+
+#[test]
+fn news_is_told_for_a_while_and_then_no_more() {
+    let mut state = Registers::new(4, MOST);
+    state.write(1, 1, &Fact::default()).unwrap();
+    let told = std::iter::from_fn(|| state.news(100)).take(1000).count();
+    assert!((8..100).contains(&told), "{told}");
+    assert_eq!(state.news(3), None, "what does not fit is not told");
+}
--- a/crates/proving/src/lib.rs
+++ b/crates/proving/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod counter;
 mod judge;
+pub mod membership;
 mod timeline;
 mod world;
 
--- /dev/null
+++ b/crates/proving/src/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Fleets in virtual time: members as they run in service, the network between them, and what goes wrong.
+
+mod figures;
+mod member;
+mod network;
+
+pub use figures::{Figures, Spread, measure};
+pub use member::{Belief, Member, Process, Seen};
+pub use network::{Network, Way};
