--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::carrier::Shared;
 use crate::hearing::{Counters, Hearing, MemberView, View};
 use crate::links::Links;
-use crate::message::{Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
+use crate::message::{Copy, Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
 use crate::registers::{Fact, Registers};
 use crate::rumors::Rumors;
 use crate::seal::Seal;
@@ -21,24 +21,24 @@
 const BYTES: (u32, u32) = (8_000, 4_000);
 /// Beats and answers may overdraw the bytes by so much: what proves life goes before all that can wait.
 const OVERDRAFT: i64 = 2_000;
+/// Bytes that introductions leave for what is more urgent.
+const RESERVE: i64 = 1_000;
 /// Datagrams a second that are opened, and at once, whoever they are from: the budget of CPU.
 const OPENED: (u32, u32) = (1_000, 1_000);
 /// A turn that comes so much too late says that this process is short of time, not that others are dead.
 const LATE: Millis = 100;
 /// A new process that hears of a later life of its own number goes above it; later on it gives way instead.
 const STARTING: Millis = 3_000;
-/// Between two answers to a member that is not believed yet, and between two contradictions about one.
+/// Between two answers to a member that is not believed yet, or that asks for beats.
 const ANSWER: Millis = 200;
-/// See [`ANSWER`].
-const REBUT: Millis = 500;
 /// Accusers that make it likely enough that all have to know.
 const SPREAD: usize = 2;
 /// An accusation that nobody shares and nobody contradicts is told to all after so long, and again.
 const ACCUSE_AGAIN: Millis = 2_000;
 /// Beats between two looks for those who are out, two digests, and two writings of what this one says of itself.
 const ROUND: u32 = 4;
-/// Members whose newest beats ride on a datagram, as far as there is room.
-const COPIES: usize = 4;
+/// Members whose newest beats ride on each datagram: at fifty a second all of a thousand go around in three seconds.
+const COPIES: u16 = 8;
 /// Bytes of a datagram kept for header, code, and the frames of parts.
 const FRAME: usize = 96;
 /// Pieces of a shared state that answer one digest.
@@ -115,8 +115,6 @@
     links: Links,
     rumors: Rumors,
     facts: Registers<Fact>,
-    /// What this incarnation wrote of itself last.
-    fact: Option<Fact>,
     carried: Vec<Box<dyn Shared + Send>>,
     /// The next turn, and which of a beat's turns it is.
     due: Millis,
@@ -126,8 +124,9 @@
     /// Silence before this counts for nothing: this process was late itself.
     floor: Millis,
     /// Where the rotating copies of all members' beats are.
-    copied: u16,
-    defended: Option<Millis>,
+    next_copy: u16,
+    /// The beat by which this one contradicted accusations of itself last.
+    defended: Evidence,
     bytes: Bucket,
     opened: Bucket,
     counters: Counters,
@@ -171,14 +170,13 @@
             links: Links::new(size, me, now),
             rumors: Rumors::new(size),
             facts: Registers::new(size, FACT),
-            fact: None,
             carried: Vec::new(),
             due: now,
             turn: 0,
             stirred: now,
             floor: now,
-            copied: 0,
-            defended: None,
+            next_copy: 0,
+            defended: Evidence::default(),
             bytes: Bucket::new(BYTES.0, BYTES.1, now),
             opened: Bucket::new(OPENED.0, OPENED.1, now),
             counters: Counters::default(),
@@ -244,10 +242,9 @@
         };
         let Links { watchers, subjects, .. } = &self.links;
         let all: Vec<u16> = self.table.others().collect();
-        let alive = |member| matches!(self.table.state(member), State::Alive | State::Suspected);
         Hearing {
             others: self.table.size() - 1,
-            alive: count(&all, &alive),
+            alive: count(&all, &|member| self.lives_here(member)),
             expected: count(subjects, &|_| true),
             heard: count(subjects, &|member| self.links.hears(member, now)),
             watchers: count(watchers, &|_| true),
@@ -329,7 +326,6 @@
 
     fn begin(&mut self, incarnation: u64) {
         (self.incarnation, self.sequence, self.beat) = (incarnation, 0, 0);
-        self.fact = None; // What an earlier life wrote does not hold for this one.
     }
 
     fn tell(&mut self, event: Event) {
@@ -354,7 +350,7 @@
             if !std::mem::replace(&mut self.related, true) {
                 self.links.relate(&self.table, now);
             }
-            self.accuse(now);
+            self.look_after_subjects(now);
             self.table.judge(self.links.deaf(now), now);
             if self.beat.is_multiple_of(ROUND) {
                 self.look_around(now);
@@ -383,33 +379,42 @@
         }
     }
 
-    /// Accuses the subjects that are silent for too long.
-    fn accuse(&mut self, now: Millis) {
+    /// Asks about the subjects that are silent, and accuses them when nobody knows better.
+    fn look_after_subjects(&mut self, now: Millis) {
         for member in self.links.subjects.clone() {
             let (link, record) = (self.links.get(member), self.table.record(member));
-            let since = record.lived.max(self.floor).max(link.watched.unwrap_or(now));
-            let again = link.accused.is_none_or(|at| now.saturating_sub(at) >= ACCUSE_AGAIN);
-            let silent = now.saturating_sub(since) >= link.patience();
-            if !silent || !again || record.state == State::Gone {
+            if record.state == State::Gone {
                 continue;
             }
-            let first = link.accused.is_none();
-            self.links.of(member).accused = Some(now);
-            let last = self.table.newest(member);
-            self.table.accused(member, &[self.me], last, now);
-            if first && self.table.record(member).accusers.len() < SPREAD {
-                self.ask_fellows(member, now);
-            } else {
-                self.spread(member);
+            let since = record.lived.max(self.floor).max(link.watched.unwrap_or(now));
+            let (silent, (ask, accuse)) = (now.saturating_sub(since), link.patience());
+            let again = link.accused.is_none_or(|at| now.saturating_sub(at) >= ACCUSE_AGAIN);
+            if silent >= accuse && again {
+                self.accuse(member, now);
+            } else if silent >= ask && !link.asked {
+                self.links.of(member).asked = true;
+                let Evidence { incarnation, beat } = self.table.newest(member);
+                let question = Part::Silent { member, incarnation, beat, by: Vec::new(), news: false };
+                self.ask_fellows(member, &question, now);
             }
         }
     }
 
-    /// Asks the other watchers of a silent member: with a lossy link most accusations end here.
-    fn ask_fellows(&mut self, member: u16, now: Millis) {
+    fn accuse(&mut self, member: u16, now: Millis) {
+        let first = self.links.of(member).accused.replace(now).is_none();
+        let last = self.table.newest(member);
+        self.table.accused(member, &[self.me], last, now);
+        if first && self.table.record(member).accusers.len() < SPREAD {
+            self.ask_fellows(member, &self.silent(member, false), now);
+        } else {
+            self.spread(member);
+        }
+    }
+
+    /// Asks the other watchers of a silent member: with a lossy link most doubts end here.
+    fn ask_fellows(&mut self, member: u16, question: &Part, now: Millis) {
         for fellow in self.links.fellows(member, &self.table) {
-            let accusation = self.silent(member, false);
-            self.send(fellow, false, vec![accusation], now);
+            self.send(fellow, false, vec![question.clone()], now);
         }
     }
 
@@ -429,9 +434,10 @@
     /// that lives.
     fn look_around(&mut self, now: Millis) {
         let fact = Fact { deaf: self.links.deaf_to(&self.table, now) };
-        let known = self.fact.as_ref() == Some(&fact);
-        if !known && self.facts.write(self.me, self.incarnation, &fact).is_ok() {
-            self.fact = Some(fact);
+        if self.facts.read(self.me).unwrap_or_default() != fact {
+            // Eight numbers fit, and there are no more subjects.
+            let written = self.facts.write(self.me, self.incarnation, &fact);
+            debug_assert!(written.is_ok());
         }
         let (there, away): (Vec<u16>, Vec<u16>) =
             self.table.others().partition(|member| self.table.state(*member) == State::Alive);
@@ -465,15 +471,29 @@
             self.counters.put_off += 1;
             return;
         }
+        parts.push(self.copies(now));
         let taken: usize = parts.iter().map(Part::bytes).sum();
         let room = usize::try_from(level).unwrap_or(0).min(MOST_BYTES - FRAME).saturating_sub(taken);
-        parts.extend(self.fill(room, now));
+        parts.extend(self.fill(room));
         let knows = self.table.newest(to).incarnation;
         self.post(to, knows, watch, parts, now);
     }
 
-    /// Rumours, then news of shared state by urgency, then copies of beats.
-    fn fill(&mut self, mut room: usize, now: Millis) -> Vec<Part> {
+    /// The next members' newest beats. They are no matter of room: they are what keeps members from being forgotten.
+    fn copies(&mut self, now: Millis) -> Part {
+        let from = self.next_copy;
+        let upto = (from + COPIES).min(self.table.size());
+        self.next_copy = upto % self.table.size();
+        let copy = |member: u16| {
+            let Evidence { incarnation, beat } = self.table.newest(member);
+            let age = if self.lives_here(member) { self.table.age(member, now) } else { u16::MAX };
+            Copy { incarnation: incarnation as u16, beat, age }
+        };
+        Part::Copies { from, beats: (from..upto).map(copy).collect() }
+    }
+
+    /// Rumours, then news of shared state by urgency.
+    fn fill(&mut self, mut room: usize) -> Vec<Part> {
         let mut parts = self.rumors.next(room);
         room -= parts.iter().map(Part::bytes).sum::<usize>().min(room);
         for kind in 0..=u8::try_from(self.carried.len()).unwrap_or(0) {
@@ -484,15 +504,6 @@
                 parts.push(part);
             }
         }
-        for _ in 0..COPIES {
-            self.copied = (self.copied + 1) % self.table.size();
-            let known = self.copied != self.me && self.table.state(self.copied) == State::Alive;
-            if known && room >= FRAME {
-                let part = self.life(self.copied, false, now);
-                room -= part.bytes();
-                parts.push(part);
-            }
-        }
         parts
     }
 
@@ -662,9 +673,13 @@
         if evidence > self.table.newest(member) {
             self.links.of(member).lives(age == 0);
         }
-        if self.table.alive(member, evidence, age, now) && tell {
-            let life = self.life(member, true, now);
-            self.rumors.tell(life);
+        let unknown = self.table.state(member) == State::Unknown;
+        if self.table.alive(member, evidence, age, now) {
+            self.rumors.acquit(member);
+            // At a start all are new to all: copies tell that sooner than as many rumours.
+            if tell && !unknown {
+                self.rumors.tell(self.life(member, true, now));
+            }
         }
     }
 
@@ -678,6 +693,13 @@
                 self.another(incarnation, now)
             }
             Part::Life { .. } => {}
+            Part::Copies { from: first, beats } => {
+                let lacking: Vec<u16> = (first..)
+                    .zip(beats)
+                    .filter_map(|(member, copy)| self.copied(member, &copy, now).then_some(member))
+                    .collect();
+                self.introduce(from, &lacking, now);
+            }
             Part::Silent { member, incarnation, beat, by, news } => {
                 let asked = (!news).then_some(from);
                 self.accusation(member, &by, Evidence { incarnation, beat }, asked, now);
@@ -692,10 +714,40 @@
         }
     }
 
+    /// A copy of a member's newest beat came around. Tells whether its sender lacks the member's incarnation.
+    fn copied(&mut self, member: u16, copy: &Copy, now: Millis) -> bool {
+        let known = self.table.newest(member).incarnation;
+        if member == self.me || known == 0 {
+            return false;
+        }
+        if copy.incarnation != known as u16 {
+            return self.lives_here(member);
+        }
+        // The few bits may be another incarnation's.
+        if self.table.plausible(member, copy.beat, now) {
+            let evidence = Evidence { incarnation: known, beat: copy.beat };
+            self.lives(member, evidence, 100 * Millis::from(copy.age).max(1), false, now);
+        }
+        false
+    }
+
+    fn lives_here(&self, member: u16) -> bool {
+        matches!(self.table.state(member), State::Alive | State::Suspected)
+    }
+
+    /// Tells one of members that it does not know, as far as bytes allow: it comes back.
+    fn introduce(&mut self, to: u16, members: &[u16], now: Millis) {
+        if members.is_empty() || self.bytes.level(now) < RESERVE {
+            return;
+        }
+        let lives = members.iter().map(|member| self.life(*member, false, now)).collect();
+        self.send(to, false, lives, now);
+    }
+
     /// Watchers say that a member is silent; `asked` is the one that wants to know what is heard here.
     fn accusation(&mut self, member: u16, by: &[u16], last: Evidence, asked: Option<u16>, now: Millis) {
         if member == self.me {
-            return self.defend(now);
+            return self.defend();
         }
         match self.table.accused(member, by, last, now) {
             Heard::Old => {}
@@ -714,24 +766,19 @@
         }
     }
 
-    /// Tells all that this one lives.
-    fn defend(&mut self, now: Millis) {
-        let lately = self.defended.is_some_and(|at| now.saturating_sub(at) < REBUT);
-        if !lately {
-            self.defended = Some(now);
-            let life = self.life(self.me, true, now);
-            self.rumors.tell(life);
+    /// Tells all that this one lives, once a beat.
+    fn defend(&mut self) {
+        let now = Evidence { incarnation: self.incarnation, beat: self.beat };
+        if std::mem::replace(&mut self.defended, now) != now {
+            self.rumors.tell(self.life(self.me, true, self.stirred));
         }
     }
 
-    /// Tells all that a member lived later than its accusers know.
+    /// Tells all that a member lived later than its accusers know, once for each beat of it.
     fn contradict(&mut self, member: u16, now: Millis) {
-        let link = self.links.of(member);
-        let lately = link.rebutted.is_some_and(|at| now.saturating_sub(at) < REBUT);
-        if !lately {
-            link.rebutted = Some(now);
-            let life = self.life(member, true, now);
-            self.rumors.tell(life);
+        let newest = self.table.newest(member);
+        if std::mem::replace(&mut self.links.of(member).rebutted, newest) != newest {
+            self.rumors.tell(self.life(member, true, now));
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -39,7 +39,10 @@
 pub const BEAT: Millis = 240;
 /// Watchers of each member, one a ring.
 pub const WATCHERS: usize = 8;
-/// Without a beat for so long, a watcher says so: four beats lost in a row, and a little for late timers.
+/// Without a beat for so long, a watcher asks the other watchers: three beats lost in a row, and a little for late
+/// timers.
+pub const ASK: Millis = 760;
+/// Without a beat for so long, and nobody who knows better, a watcher says that the member is silent: a beat more.
 pub const SILENCE: Millis = 1_000;
 /// A process whose own timers stood still for so long has been away: its beliefs are too old to act on.
 pub const AWAY: Millis = SILENCE;
@@ -47,5 +50,5 @@
 /// With no evidence of life at all, by any way, a member is gone after so long: what the rotating copies of all
 /// members' beats take to come around, which grows with the fleet.
 pub fn forgotten_after(size: u16) -> Millis {
-    10_000 + 50 * Millis::from(size)
+    10_000 + 100 * Millis::from(size)
 }
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -2,8 +2,8 @@
 
 use crate::budget::Bucket;
 use crate::replay::Window;
-use crate::table::Table;
-use crate::{BEAT, Millis, Rings, SILENCE, WATCHERS};
+use crate::table::{Evidence, Table};
+use crate::{ASK, BEAT, Millis, Rings, SILENCE, WATCHERS};
 
 /// Datagrams a second that are read of one member, and at once: several times what one sends in need.
 const READ: (u32, u32) = (64, 128);
@@ -11,7 +11,7 @@
 const GUESTS: usize = 16;
 /// A guest is served for so long after it asked.
 const GUEST: Millis = 4 * BEAT;
-/// An accuser that was contradicted waits twice as long the next time, up to this power of two: its link is bad.
+/// A watcher that was contradicted waits twice as long the next time, up to this power of two: its link is bad.
 const MOST_DOUBT: u32 = 3;
 /// A member whose beats are missed for so long, while it lives, is one that this one is deaf to.
 const DEAF: Millis = 2 * SILENCE;
@@ -27,14 +27,16 @@
     pub sent: Option<Millis>,
     /// The last answer to something that was not believed.
     pub greeted: Option<Millis>,
-    /// The last time that an accusation of it was contradicted from here.
-    pub rebutted: Option<Millis>,
+    /// The evidence by which accusations of it were contradicted from here last.
+    pub rebutted: Evidence,
     /// Its incarnation that `window` is of.
     pub proven: u64,
     pub window: Window,
     pub read: Bucket,
     /// Since when its beats are expected.
     pub watched: Option<Millis>,
+    /// Other watchers were asked about it, and it was not heard of since.
+    pub asked: bool,
     /// When this one last accused it, until it is heard of again.
     pub accused: Option<Millis>,
     doubt: u32,
@@ -47,11 +49,12 @@
             confirmed: None,
             sent: None,
             greeted: None,
-            rebutted: None,
+            rebutted: Evidence::default(),
             proven: 0,
             window: Window::default(),
             read: Bucket::new(READ.0, READ.1, now),
             watched: None,
+            asked: false,
             accused: None,
             doubt: 0,
         }
@@ -61,15 +64,15 @@
     pub fn lives(&mut self, direct: bool) {
         if direct {
             self.doubt = 0;
-        } else if self.accused.is_some() {
+        } else if self.asked {
             self.doubt = (self.doubt + 1).min(MOST_DOUBT);
         }
-        self.accused = None;
+        (self.asked, self.accused) = (false, None);
     }
 
-    /// Silence after which the member is accused.
-    pub fn patience(&self) -> Millis {
-        SILENCE << self.doubt
+    /// Silence after which the other watchers are asked, and after which the member is accused.
+    pub fn patience(&self) -> (Millis, Millis) {
+        (ASK << self.doubt, SILENCE << self.doubt)
     }
 }
 
@@ -112,7 +115,7 @@
         for (member, link) in (0u16..).zip(&mut self.links) {
             match (self.subjects.contains(&member), link.watched) {
                 (true, None) => link.watched = Some(now),
-                (false, Some(_)) => (link.watched, link.accused) = (None, None),
+                (false, Some(_)) => (link.watched, link.asked, link.accused) = (None, false, None),
                 _ => {}
             }
         }
@@ -173,7 +176,8 @@
         self.last = None;
         self.guests.clear();
         for link in &mut self.links {
-            (link.heard, link.confirmed, link.watched, link.accused) = (None, None, None, None);
+            (link.heard, link.confirmed, link.watched) = (None, None, None);
+            (link.asked, link.accused) = (false, None);
         }
     }
 }
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -58,6 +58,13 @@
         /// It answers an accusation or tells of a change, and is passed on.
         news: bool,
     },
+    /// Members' newest beats, as they go around all the time.
+    Copies {
+        /// The number of the first one; the others follow it.
+        from: u16,
+        /// One for each number from there on.
+        beats: Vec<Copy>,
+    },
     /// Watchers hear nothing of a member.
     Silent {
         /// The member.
@@ -66,7 +73,7 @@
         incarnation: u64,
         /// Its newest beat that they know.
         beat: u32,
-        /// The watchers, [`MOST_ACCUSERS`] at most.
+        /// The watchers, three at most.
         by: Vec<u16>,
         /// It is passed on; else it asks the other watchers, who contradict if they can.
         news: bool,
@@ -87,6 +94,17 @@
     },
 }
 
+/// A member's newest beat in few bytes. It says nothing to those who do not know the member's incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Copy {
+    /// The low bits of its incarnation; 0 with beat 0 where nothing is known.
+    pub incarnation: u16,
+    /// Its newest beat that is known.
+    pub beat: u32,
+    /// Tenths of a second since that was sent.
+    pub age: u16,
+}
+
 impl Part {
     /// Bytes that it takes in a datagram.
     pub fn bytes(&self) -> usize {
@@ -107,6 +125,7 @@
                 let accuser = |by: &u16| *by < size && by != member;
                 *member < size && known(*incarnation) && by.len() <= MOST_ACCUSERS && by.iter().all(accuser)
             }
+            Part::Copies { from, beats } => usize::from(*from) + beats.len() <= usize::from(size),
             Part::Digest { .. } | Part::Piece { .. } => true,
         };
         header.from < size
--- a/crates/fleet/src/rumors.rs
+++ b/crates/fleet/src/rumors.rs
@@ -28,10 +28,10 @@
 }
 
 impl Rumors {
-    /// Each rumour is told `2 log2(size)` times by each who hears of it, at least once on each way out: all have heard
+    /// Each rumour is told `log2(size) + 1` times by each who hears of it, at least once on each way out: all have heard
     /// of it then but for a share that the copies of beats reach (Demers et al. 1987, 1.4).
     pub fn new(size: u16) -> Self {
-        let times = (2 * (u32::from(size).ilog2() + 1)).max(WATCHERS as u32);
+        let times = (u32::from(size).ilog2() + 1).max(WATCHERS as u32);
         Self { waiting: VecDeque::new(), times, dropped: 0 }
     }
 
@@ -52,6 +52,11 @@
         self.waiting.push_front((0, part));
     }
 
+    /// A member is not under suspicion any more.
+    pub fn acquit(&mut self, of: u16) {
+        self.waiting.retain(|(_, part)| !matches!(part, Part::Silent { member, .. } if *member == of));
+    }
+
     /// Up to `room` bytes of rumours; each is dropped once it was told often enough.
     pub fn next(&mut self, mut room: usize) -> Vec<Part> {
         let mut told = Vec::new();
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -2,7 +2,7 @@
 //! sends what to whom is decided elsewhere, so that this can be checked on its own.
 
 use crate::message::MOST_ACCUSERS;
-use crate::{Millis, SILENCE, forgotten_after};
+use crate::{BEAT, Millis, SILENCE, forgotten_after};
 use serde::Serialize;
 
 /// Accusers that are as good as all watchers.
@@ -14,6 +14,9 @@
 /// An accusation and a known beat this close tell of the same moment: beats of one round leave one after another.
 const SAME: u32 = 1;
 
+/// Beats by which ways of different length may set what is known apart.
+const AHEAD: Millis = 16;
+
 /// What is believed of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -138,6 +141,13 @@
         self.state(member) == State::Gone
     }
 
+    /// Whether a member can have come to a beat by now: about as many as there was time for since the newest known.
+    pub fn plausible(&self, member: u16, beat: u32, now: Millis) -> bool {
+        let record = self.record(member);
+        let passed = now.saturating_sub(record.lived) / BEAT;
+        Millis::from(beat) <= Millis::from(record.newest.beat) + 2 * passed + AHEAD
+    }
+
     /// Tenths of a second since a member's newest beat was sent.
     pub fn age(&self, member: u16, now: Millis) -> u16 {
         u16::try_from(now.saturating_sub(self.record(member).lived) / 100).unwrap_or(u16::MAX)
@@ -183,7 +193,7 @@
         cleared && proves && (state != State::Alive || another)
     }
 
-    /// Watchers say that nothing came after `last`.
+    /// Watchers say that nothing came after `last`; nobody does, who only wants to know.
     pub fn accused(&mut self, member: u16, by: &[u16], last: Evidence, now: Millis) -> Heard {
         let record = &mut self.records[usize::from(member)];
         if member == self.me {
