--- a/crates/proving/src/membership/figures.rs
+++ b/crates/proving/src/membership/figures.rs
@@ -55,7 +55,7 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are kept")
+    Histogram::new_with_max(DEATH, 3).expect("three digits are kept")
 }
 
 /// Plays `quiet` milliseconds without a fault but losses, then `deaths` deaths, one after the other, each followed by
