--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,7 +7,8 @@
 use std::process::ExitCode;
 use tokio::io::AsyncReadExt;
 use tokio::signal::unix::{SignalKind, signal};
-use weirusher_config::{Config, render};
+use weirusher_config::{Config, FleetConfig, Problem, render};
+use weirusher_node::InFleet;
 use weirusher_rehearsal::{Day, Options, audit as judge};
 
 /// Something ran and failed, or a rule was broken.
@@ -25,8 +26,13 @@
 }
 
 fn config(file: &Path) -> Result<Config, ExitCode> {
+    parsed(file, Config::parse)
+}
+
+/// A file as `parse` reads it, or all that is wrong in it, shown.
+fn parsed<T>(file: &Path, parse: fn(&str) -> Result<T, Vec<Problem>>) -> Result<T, ExitCode> {
     let text = read(file)?;
-    Config::parse(&text).map_err(|problems| {
+    parse(&text).map_err(|problems| {
         eprint!("{}", render(&file.display().to_string(), &text, &problems));
         let many = problems.len();
         fail(WRONG, &format!("{many} problem{} in {}", if many == 1 { "" } else { "s" }, file.display()))
@@ -62,9 +68,12 @@
         Ok(running) => running,
         Err(error) => return fail(FAILED, &error.to_string()),
     };
-    announce(
-        &json!({ "ext_authz": running.ext_authz, "access_log": running.ext_authz, "admin": running.admin }),
-    );
+    let mut listening =
+        json!({ "ext_authz": running.ext_authz, "access_log": running.ext_authz, "admin": running.admin });
+    if let Some(fleet) = running.fleet {
+        listening["fleet"] = json!(fleet);
+    }
+    announce(&listening);
     let _ = stop.await; // It ends when told, and not otherwise.
     match running.stop().await {
         0 => ExitCode::SUCCESS,
@@ -76,12 +85,19 @@
 }
 
 /// One thread for all: the platform gives one core, and tasks that share it need no locks.
-pub fn node(config: &Path) -> ExitCode {
+pub fn node(config: &Path, fleet: Option<&Path>) -> ExitCode {
+    let fleet = match fleet.map(|file| parsed(file, FleetConfig::parse)).transpose() {
+        Ok(config) => config.map(|config| InFleet {
+            config,
+            listening: |fleet, admin| announce(&json!({ "fleet": fleet, "admin": admin })),
+        }),
+        Err(code) => return code,
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return fail(FAILED, &format!("no runtime: {error}")),
     };
-    match tokio::task::LocalSet::new().block_on(&runtime, weirusher_node::run(config)) {
+    match tokio::task::LocalSet::new().block_on(&runtime, weirusher_node::run(config, fleet)) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(owed) => {
             tracing::warn!(owed, "stopped while requests were still owed their end");
--- /dev/null
+++ b/crates/cli/src/fleet.rs
@@ -0,0 +1,100 @@
+//! `weirusher fleet`: what a running gatekeeper believes of the others.
+
+use crate::commands::{FAILED, WRONG, fail};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+use weirusher_fleet::{Counters, State, View};
+use weirusher_peers::page;
+
+/// How long a page may take.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Members in one line of the table.
+const LINE: usize = 12;
+
+pub async fn show(admin: SocketAddr, json: bool) -> ExitCode {
+    let asked = tokio::time::timeout(PATIENCE, page::get(admin, "/fleet")).await;
+    let answer = match asked.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
+        Ok(answer) => answer,
+        Err(error) => return fail(FAILED, &format!("{admin}: {error}")),
+    };
+    let body = String::from_utf8_lossy(&answer.body);
+    match serde_json::from_slice::<View>(&answer.body) {
+        Ok(_) if json => println!("{body}"),
+        Ok(view) => print!("{}", table(&view)),
+        Err(_) => return fail(WRONG, &format!("{admin}: {}", body.trim())),
+    }
+    ExitCode::SUCCESS
+}
+
+/// A table for people: this one's standing, the others by what is believed of them, and what was refused.
+fn table(view: &View) -> String {
+    let hearing = view.hearing;
+    let mut text = format!("gatekeeper {}, incarnation {}\n", view.number, view.incarnation);
+    let age = hearing.age_ms.map_or_else(|| "nobody yet".to_string(), |ms| format!("{ms} ms ago"));
+    let _ = writeln!(
+        text,
+        "  counts on  {:.0} % of the fleet; heard last: {age}{}",
+        100.0 * hearing.share(),
+        if hearing.superseded { "; replaced by another process under its number" } else { "" }
+    );
+    let _ = writeln!(
+        text,
+        "  hears      {} of {} directly; {} of {} others live",
+        hearing.heard, hearing.expected, hearing.alive, hearing.others
+    );
+    let _ = writeln!(
+        text,
+        "  heard by   {} of {} that it sends to; {} say that they do not",
+        hearing.confirmed, hearing.watchers, hearing.denied
+    );
+    for state in [State::Alive, State::Suspected, State::Gone, State::Unknown] {
+        let members: Vec<_> = view.members.iter().filter(|member| member.state == state).collect();
+        let _ = writeln!(text, "  {:<10} {}", format!("{state:?}").to_lowercase(), members.len());
+        if state == State::Alive {
+            continue;
+        }
+        for line in members.chunks(LINE) {
+            let name = |m: &&weirusher_fleet::MemberView| {
+                format!("{} for {:.1} s", m.number, m.for_ms as f64 / 1000.0)
+            };
+            let _ = writeln!(text, "    {}", line.iter().map(name).collect::<Vec<_>>().join(", "));
+        }
+    }
+    let _ = writeln!(
+        text,
+        "  sent       {} datagrams, {} bytes; put off {}; rumours waiting {}, dropped {}",
+        view.counters.sent,
+        view.counters.sent_bytes,
+        view.counters.put_off,
+        view.rumors,
+        view.counters.rumors_dropped
+    );
+    let _ = writeln!(
+        text,
+        "  received   {} datagrams; refused: {}",
+        view.counters.received,
+        refused(&view.counters)
+    );
+    text
+}
+
+/// What was refused and why, but for what never was.
+fn refused(counters: &Counters) -> String {
+    let all = [
+        ("oversized", counters.oversized),
+        ("from elsewhere", counters.misplaced),
+        ("flood", counters.flooded),
+        ("other key or forged", counters.forged),
+        ("malformed", counters.malformed),
+        ("other fleet size", counters.other_size),
+        ("for another", counters.misdelivered),
+        ("replayed", counters.replayed),
+        ("of a life that is over", counters.stale),
+        ("to a life that is over", counters.unproven),
+        ("unreadable state", counters.unreadable),
+    ];
+    let some: Vec<String> = all.iter().filter(|(_, n)| *n > 0).map(|(why, n)| format!("{why} {n}")).collect();
+    if some.is_empty() { "nothing".to_string() } else { some.join(", ") }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod commands;
+mod fleet;
 mod logs;
 mod standins;
 
@@ -43,6 +44,19 @@
         /// Its configuration, as JSON.
         #[arg(long, env = "NODE_CONFIG")]
         config: PathBuf,
+        /// A file with [fleet], to take part in a fleet: prints one JSON line with its addresses. Without it there is
+        /// no such socket, timer or memory.
+        #[arg(long)]
+        fleet: Option<PathBuf>,
+    },
+    /// Show what a running gatekeeper believes of the others.
+    Fleet {
+        /// Its admin page.
+        #[arg(long)]
+        admin: SocketAddr,
+        /// Print all of it as JSON.
+        #[arg(long)]
+        json: bool,
     },
     /// Check a configuration and say all that is wrong in it.
     Check {
@@ -161,8 +175,8 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     logs::start(cli.log == LogForm::Json);
-    if let Command::Node { config } = &cli.command {
-        return commands::node(config);
+    if let Command::Node { config, fleet } = &cli.command {
+        return commands::node(config, fleet.as_deref());
     }
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
@@ -172,6 +186,7 @@
         match cli.command {
             Command::Run { config } => commands::run(&config).await,
             Command::Node { .. } => unreachable!("it has a runtime of its own"),
+            Command::Fleet { admin, json } => fleet::show(admin, json).await,
             Command::Check { file } => commands::check(&file),
             Command::Standin { standin } => standins::run(standin).await,
             Command::Rehearse { day, hold: true, capture, .. } => commands::hold(&day, capture).await,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,9 +5,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod fleet;
 mod reader;
 mod schema;
 
+pub use fleet::FleetConfig;
 pub use reader::Problem;
 pub use schema::{Config, CounterConfig, DiscoveryConfig, RequestRules, parse_effect};
 
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -52,6 +52,27 @@
     known: RefCell<Vec<&'static str>>,
 }
 
+/// Reads a file's root table; `read` leaves in it only what it does not know.
+pub(crate) fn parse<T>(
+    source: &str,
+    name: &str,
+    read: impl FnOnce(&mut Table<'_, '_>) -> Option<T>,
+) -> Result<T, Vec<Problem>> {
+    let problems = Problems::new(source);
+    let (root, errors) = DeTable::parse_recoverable(source);
+    for error in &errors {
+        problems.add(error.span().map_or(0, |span| span.start), error.message(), None);
+    }
+    let mut found = None;
+    if errors.is_empty() {
+        let mut root = Table::new(&problems, name, 0, root.into_inner());
+        found = read(&mut root);
+        root.finish();
+    }
+    let problems = problems.into_inner();
+    found.filter(|_| problems.is_empty()).ok_or(problems)
+}
+
 fn kind(value: &DeValue<'_>) -> &'static str {
     match value {
         DeValue::String(_) => "a text",
@@ -175,6 +196,28 @@
         }
     }
 
+    /// The texts of a list, and where each stands.
+    pub fn list(&mut self, key: &'static str) -> Option<Vec<(String, usize)>> {
+        let items = match self.take(key)? {
+            (DeValue::Array(items), _) => items,
+            (other, at) => {
+                self.wrong(key, at, &other, "a list of texts");
+                return None;
+            }
+        };
+        let text = |item: Spanned<DeValue<'a>>| {
+            let at = item.span().start;
+            match item.into_inner() {
+                DeValue::String(text) => Some((text.to_string(), at)),
+                other => {
+                    self.wrong(key, at, &other, "a text");
+                    None
+                }
+            }
+        };
+        Some(items.into_iter().filter_map(text).collect())
+    }
+
     /// All remaining keys with their texts, for tables whose keys are names.
     pub fn texts(&mut self) -> Vec<(String, String, usize)> {
         let entries = std::mem::take(&mut self.entries);
--- a/crates/config/src/schema.rs
+++ b/crates/config/src/schema.rs
@@ -1,10 +1,10 @@
 //! What a configuration holds, and what must hold between its parts.
 
-use crate::reader::{Problem, Problems, Table};
+use crate::fleet::{self, FleetConfig, Member};
+use crate::reader::{self, Problem, Table};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use toml::de::DeTable;
 use weirusher::{Class, Effect, Group, Plan, Settings};
 use weirusher_core::Key;
 
@@ -39,6 +39,8 @@
     pub request: RequestRules,
     /// Seconds that a stopping gatekeeper waits for what it owes.
     pub drain: f64,
+    /// The other gatekeepers, if it is to know of them.
+    pub fleet: Option<FleetConfig>,
 }
 
 /// The counter.
@@ -108,31 +110,26 @@
     /// # Errors
     /// All that is wrong in it, by place.
     pub fn parse(source: &str) -> Result<Self, Vec<Problem>> {
-        let problems = Problems::new(source);
-        let (root, errors) = DeTable::parse_recoverable(source);
-        for error in &errors {
-            problems.add(error.span().map_or(0, |s| s.start), error.message(), None);
-        }
-        let mut root = Table::new(&problems, "the configuration", 0, root.into_inner());
-        let config = if errors.is_empty() { read(&mut root) } else { None };
-        if errors.is_empty() {
-            root.finish();
-        }
-        let found = problems.into_inner();
-        match config {
-            Some(config) if found.is_empty() => Ok(config),
-            _ => Err(found),
-        }
+        reader::parse(source, "the configuration", read)
     }
 }
 
-fn address(table: &mut Table<'_, '_>, key: &'static str, default: Option<&str>) -> Option<SocketAddr> {
+pub(crate) fn address(
+    table: &mut Table<'_, '_>,
+    key: &'static str,
+    default: Option<&str>,
+) -> Option<SocketAddr> {
     let Some((text, at)) = table.text(key) else {
         if default.is_none() {
             table.missing(key, "an address such as \"127.0.0.1:9000\"");
         }
         return default.and_then(|d| d.parse().ok());
     };
+    loopback(table, key, &text, at)
+}
+
+/// An address on loopback.
+pub(crate) fn loopback(table: &Table<'_, '_>, key: &str, text: &str, at: usize) -> Option<SocketAddr> {
     match text.parse::<SocketAddr>() {
         Ok(address) if address.ip().is_loopback() => return Some(address),
         Ok(address) => {
@@ -155,6 +152,7 @@
     instance(root, &mut settings);
     limits(root, &mut settings);
     cold(root, &mut settings);
+    let fleet = fleet::read(root, Member::Instance(settings.me, settings.gateways));
     let listen = listen(root);
     let keys = tickets(root);
     let counter = counter(root, &mut settings);
@@ -173,6 +171,7 @@
         discovery: discovery?,
         request,
         drain,
+        fleet,
     })
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -2,14 +2,14 @@
 
 use crate::budget::Bucket;
 use crate::carrier::Shared;
-use crate::hearing::{Counters, Hearing, MemberView, View};
+use crate::hearing::{Brief, Counters, Hearing, MemberView, View};
 use crate::links::Links;
-use crate::message::{Copy, Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
+use crate::message::{Copy, GONE, Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
 use crate::registers::{Fact, Registers};
 use crate::rumors::Rumors;
 use crate::seal::Seal;
 use crate::table::{Change, Evidence, Heard, State, Table};
-use crate::{AWAY, BEAT, LEAST_KEY, Millis, SILENCE, WATCHERS};
+use crate::{AWAY, BEAT, DEATH_KNOWN, LEAST_KEY, Millis, SILENCE, WATCHERS};
 use fastrand::Rng;
 use serde::Serialize;
 use std::collections::{HashMap, VecDeque};
@@ -29,6 +29,9 @@
 const LATE: Millis = 100;
 /// A new process that hears of a later life of its own number goes above it; later on it gives way instead.
 const STARTING: Millis = 3_000;
+/// Shares of the fleet below which one is cut off, and from which it is not any more: apart, so that a share between
+/// them is told once.
+const CUT: (f64, f64) = (0.5, 0.75);
 /// Between two answers to a member that is not believed yet, or that asks for beats.
 const ANSWER: Millis = 200;
 /// Accusers that make it likely enough that all have to know.
@@ -96,6 +99,10 @@
     Superseded(u64),
     /// A member was told another size of the fleet.
     OtherSize(u16, u16),
+    /// Less than half of the fleet can be counted on to hear this one and be heard.
+    Cut(Hearing),
+    /// Three quarters can again.
+    Whole(Hearing),
 }
 
 /// One member.
@@ -111,6 +118,11 @@
     /// Till when a later life of this number is taken for an earlier process's.
     starting: Millis,
     superseded: bool,
+    /// Whether it is cut off, and from when on that is looked at: nobody is heard at first.
+    cut: bool,
+    notice: Millis,
+    /// Since when it could be told that it is not any more.
+    mending: Millis,
     table: Table,
     links: Links,
     rumors: Rumors,
@@ -166,6 +178,9 @@
             beat: 0,
             starting: now + STARTING,
             superseded: false,
+            cut: false,
+            notice: now + STARTING,
+            mending: now,
             table: Table::new(size, me, now),
             links: Links::new(size, me, now),
             rumors: Rumors::new(size),
@@ -285,6 +300,19 @@
         }
     }
 
+    /// What this one believes, in brief.
+    pub fn brief(&mut self, now: Millis) -> Brief {
+        let hearing = self.hearing(now);
+        let others = || self.table.others();
+        Brief {
+            number: self.me,
+            incarnation: self.incarnation,
+            hearing,
+            alive: others().filter(|member| self.lives_here(*member)).collect(),
+            gone: others().filter(|member| self.table.out(*member)).collect(),
+        }
+    }
+
     /// Does what is due.
     pub fn advance(&mut self, now: Millis) {
         self.stir(now);
@@ -319,7 +347,7 @@
         self.links.woke();
         self.rumors.clear();
         self.related = false;
-        (self.due, self.floor) = (now, now);
+        (self.due, self.floor, self.notice) = (now, now, now + STARTING);
         self.counters.away += 1;
         self.tell(Event::Away(away));
     }
@@ -352,6 +380,7 @@
             }
             self.look_after_subjects(now);
             self.table.judge(self.links.deaf(now), now);
+            self.notice(now);
             if self.beat.is_multiple_of(ROUND) {
                 self.look_around(now);
             }
@@ -369,6 +398,22 @@
         }
     }
 
+    /// Tells when this one is cut off, and when it is not any more.
+    fn notice(&mut self, now: Millis) {
+        let hearing = self.hearing(now);
+        let (below, from) = CUT;
+        if !self.cut && now >= self.notice && hearing.share() < below {
+            self.cut = true;
+            self.tell(Event::Cut(hearing));
+        } else if !self.cut || hearing.share() < from {
+            self.mending = now;
+        } else if now >= self.mending + DEATH_KNOWN {
+            // By then it would be known if some of those that came back had gone at once, as when a cut moves.
+            self.cut = false;
+            self.tell(Event::Whole(hearing));
+        }
+    }
+
     /// Tells a subject that it is heard, or asks for its beats.
     fn attend(&mut self, subject: u16, now: Millis) {
         let link = self.links.get(subject);
@@ -486,7 +531,7 @@
         self.next_copy = upto % self.table.size();
         let copy = |member: u16| {
             let Evidence { incarnation, beat } = self.table.newest(member);
-            let age = if self.lives_here(member) { self.table.age(member, now) } else { u16::MAX };
+            let age = if self.lives_here(member) { self.table.age(member, now).min(GONE - 1) } else { GONE };
             Copy { incarnation: incarnation as u16, beat, age }
         };
         Part::Copies { from, beats: (from..upto).map(copy).collect() }
@@ -696,7 +741,7 @@
             Part::Copies { from: first, beats } => {
                 let lacking: Vec<u16> = (first..)
                     .zip(beats)
-                    .filter_map(|(member, copy)| self.copied(member, &copy, now).then_some(member))
+                    .filter_map(|(member, copy)| self.copied(from, member, &copy, now).then_some(member))
                     .collect();
                 self.introduce(from, &lacking, now);
             }
@@ -714,8 +759,8 @@
         }
     }
 
-    /// A copy of a member's newest beat came around. Tells whether its sender lacks the member's incarnation.
-    fn copied(&mut self, member: u16, copy: &Copy, now: Millis) -> bool {
+    /// A copy of a member's newest beat came around. Tells whether its sender lacks something that is known here.
+    fn copied(&mut self, from: u16, member: u16, copy: &Copy, now: Millis) -> bool {
         let known = self.table.newest(member).incarnation;
         if member == self.me || known == 0 {
             return false;
@@ -723,9 +768,14 @@
         if copy.incarnation != known as u16 {
             return self.lives_here(member);
         }
+        let evidence = Evidence { incarnation: known, beat: copy.beat };
+        if copy.age == GONE {
+            // A rumour may have missed this one, or the sender: one accuses, the other contradicts.
+            let heard = self.lives_here(member).then(|| self.table.accused(member, &[from], evidence, now));
+            return heard == Some(Heard::Contradicted);
+        }
         // The few bits may be another incarnation's.
         if self.table.plausible(member, copy.beat, now) {
-            let evidence = Evidence { incarnation: known, beat: copy.beat };
             self.lives(member, evidence, 100 * Millis::from(copy.age).max(1), false, now);
         }
         false
--- a/crates/fleet/src/hearing.rs
+++ b/crates/fleet/src/hearing.rs
@@ -2,10 +2,10 @@
 
 use crate::Millis;
 use crate::table::State;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// How much of the fleet one hears, and is heard by. Directions differ where a link is broken one way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Hearing {
     /// Members besides this one.
     pub others: u16,
@@ -28,20 +28,21 @@
 }
 
 impl Hearing {
-    /// Share of the others that can be counted on to hear and be heard, from 0 to 1: nothing while nobody is heard,
-    /// whatever is remembered; at most the share of the direct links that work, in the worse direction.
+    /// Share of the others that can be counted on to hear and be heard, from 0 to 1: at most the share of the direct
+    /// links that work, in the worse direction. What nobody confirms does not count: a broken way back looks like that,
+    /// and so does a broken way there.
     pub fn share(&self) -> f64 {
-        if self.others == 0 || self.superseded || self.heard == 0 {
+        if self.others == 0 || self.superseded {
             return 0.0;
         }
         let part = |of: u16, all: u16| f64::from(of) / f64::from(all.max(1));
-        let links = part(self.heard, self.expected).min(1.0 - part(self.denied, self.watchers));
-        part(self.alive, self.others).min(links.clamp(0.0, 1.0))
+        let links = part(self.heard, self.expected).min(part(self.confirmed, self.watchers));
+        part(self.alive, self.others).min(links)
     }
 }
 
 /// What was sent, received, refused and put off, since the start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Counters {
     /// Datagrams sent.
     pub sent: u64,
@@ -81,8 +82,23 @@
     pub away: u64,
 }
 
+/// All that a member believes, as few enough bytes to be asked for all the time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// Its number.
+    pub number: u16,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// How much it hears.
+    pub hearing: Hearing,
+    /// Members that are alive, suspected or not.
+    pub alive: Vec<u16>,
+    /// Members that are gone.
+    pub gone: Vec<u16>,
+}
+
 /// What is believed of one member.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberView {
     /// Its number.
     pub number: u16,
@@ -101,7 +117,7 @@
 }
 
 /// All that a member believes.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     /// Its number.
     pub number: u16,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,8 +24,8 @@
 pub use budget::Bucket;
 pub use carrier::{Malformed, Shared};
 pub use fleet::{Event, Fleet, FleetError, Settings};
-pub use hearing::{Counters, Hearing, MemberView, View};
-pub use message::{Header, MOST_BYTES, Packet, Part};
+pub use hearing::{Brief, Counters, Hearing, MemberView, View};
+pub use message::{Copy, GONE, Header, MOST_BYTES, Packet, Part};
 pub use registers::{Fact, Registers};
 pub use replay::Window;
 pub use rings::Rings;
@@ -47,6 +47,22 @@
 /// A process whose own timers stood still for so long has been away: its beliefs are too old to act on.
 pub const AWAY: Millis = SILENCE;
 
+/// A death is known to all who reach a watcher of the dead by then: a watcher's patience and a beat of it, the rumour,
+/// the time to contradict, each a beat at most late.
+pub const DEATH_KNOWN: Millis = SILENCE + 2 * BEAT + 1_000;
+
+/// Whoever cannot be reached any more, by any way, is known to be gone by then: those without a watcher on this side of
+/// a cut are forgotten, not accused.
+pub fn cut_known(size: u16) -> Millis {
+    forgotten_after(size) + DEATH_KNOWN
+}
+
+/// Whoever can be reached again is known to live by then: those who are out are looked for by each of the others once
+/// in four beats, and the news of half a fleet is as many rumours as bytes allow.
+pub fn life_known(size: u16) -> Millis {
+    6_000 + 30 * Millis::from(size)
+}
+
 /// With no evidence of life at all, by any way, a member is gone after so long: what the rotating copies of all
 /// members' beats take to come around, which grows with the fleet.
 pub fn forgotten_after(size: u16) -> Millis {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -94,6 +94,9 @@
     },
 }
 
+/// The age of a copy that says its sender takes the member for dead, or never heard of it.
+pub const GONE: u16 = u16::MAX;
+
 /// A member's newest beat in few bytes. It says nothing to those who do not know the member's incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Copy {
@@ -101,7 +104,7 @@
     pub incarnation: u16,
     /// Its newest beat that is known.
     pub beat: u32,
-    /// Tenths of a second since that was sent.
+    /// Tenths of a second since that was sent, or [`GONE`].
     pub age: u16,
 }
 
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -3,7 +3,7 @@
 
 use crate::message::MOST_ACCUSERS;
 use crate::{BEAT, Millis, SILENCE, forgotten_after};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// Accusers that are as good as all watchers.
 const ENOUGH: usize = MOST_ACCUSERS;
@@ -18,7 +18,7 @@
 const AHEAD: Millis = 16;
 
 /// What is believed of a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Nothing was ever heard of it.
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -1,17 +1,11 @@
 //! Members as they run in service, on a network in virtual time, under each fault that a fleet meets.
 
 use proptest::prelude::*;
-use weirusher_fleet::{BEAT, Event, Millis, SILENCE, State, forgotten_after};
+use weirusher_fleet::{BEAT, DEATH_KNOWN, Event, SILENCE, State, cut_known, forgotten_after, life_known};
 use weirusher_proving::membership::{Belief, Member, Network, Way};
 
 type Net = Network<Member>;
 
-/// Time in which a death is known to all: a watcher's patience, a beat of it, the rumour, the time to contradict.
-const KNOWN: Millis = SILENCE + 2 * BEAT + 1_000;
-/// Time in which a member that lives is known again to all who reach it: those who are out are looked for once in
-/// four beats, and the rumour runs.
-const BACK: Millis = 6_000;
-
 fn net(size: u16, seed: u64) -> Net {
     Network::new(size, seed, move |me, incarnation, now| {
         Member::new(size, me, incarnation, seed ^ u64::from(me), now)
@@ -67,11 +61,11 @@
         let mut net = settled(size, 2);
         net.kill(1);
         // Of two, the one that is left hears nobody: it cannot tell whose fault that is, and waits.
-        net.run(if size == 2 { forgotten_after(size) + BEAT } else { KNOWN });
+        net.run(if size == 2 { forgotten_after(size) + BEAT } else { DEATH_KNOWN });
         let known = (0..size).filter(|member| *member != 1).all(|by| state(&mut net, by, 1) == State::Gone);
         assert!(known, "{size}");
         net.start(1);
-        net.run(BACK);
+        net.run(life_known(net.size()));
         assert!(all_alive(&mut net), "{size}");
     }
 }
@@ -150,8 +144,8 @@
     net.run(15_000);
     for member in 0..8 {
         let hearing = hearing(&mut net, member);
-        assert!(hearing.share() <= 1.0 / 7.0 + 1e-9, "{hearing:?}");
-        assert!(hearing.heard == 1, "{hearing:?}");
+        assert_eq!((hearing.heard, hearing.confirmed), (1, 0), "{hearing:?}");
+        assert!(hearing.share() == 0.0, "nobody can tell it that it is heard: {hearing:?}");
     }
     net.seen.clear();
     net.run(120_000);
@@ -161,7 +155,7 @@
 #[test]
 fn cuts_in_two_three_and_singles_are_known_and_heal_even_along_another_line() {
     // Some members have no watcher on the other side: those are not accused, but forgotten.
-    let known = forgotten_after(24) + KNOWN;
+    let known = cut_known(24);
     let mut net = settled(24, 7);
     net.cut(|member| u8::from(member < 12));
     net.run(known);
@@ -191,8 +185,13 @@
         assert_eq!(hearing(&mut net, member).alive, 0);
     }
     net.cut(|_| 0);
-    net.run(BACK);
+    net.run(life_known(net.size()) + DEATH_KNOWN);
     assert!(all_alive(&mut net));
+    // Each cut left less than half of the fleet within reach, and was told once.
+    for member in 0..24 {
+        let told = &net.member(member).unwrap().0.events;
+        assert!(matches!(told[..], [Event::Cut(_), Event::Whole(_)]), "{member}: {told:?}");
+    }
 }
 
 #[test]
@@ -203,7 +202,7 @@
     assert_eq!(gone(&net), 0);
     // And what is lost for good is still found.
     net.kill(3);
-    net.run(KNOWN + 4_000);
+    net.run(DEATH_KNOWN + 4_000);
     assert!((0..24).filter(|by| *by != 3).all(|by| state(&mut net, by, 3) == State::Gone));
 }
 
@@ -223,11 +222,11 @@
         let (member, _) = net.member(2).unwrap();
         assert_eq!(member.fleet.incarnation(), before + 1);
         assert!(
-            matches!(member.events[..], [Event::Away(ms)] if ms + SILENCE > sleep),
+            matches!(member.events[..], [Event::Away(ms), ..] if ms + SILENCE > sleep),
             "{:?}",
             member.events
         );
-        net.run(BACK);
+        net.run(life_known(net.size()));
         assert!(all_alive(&mut net), "{sleep}");
     }
 }
@@ -275,12 +274,12 @@
 fn seven_in_ten_that_die_at_once_are_all_found_and_come_back() {
     let mut net = settled(100, 11);
     (0..70).for_each(|member| net.kill(member));
-    net.run(forgotten_after(100) + KNOWN);
+    net.run(cut_known(100));
     for by in 70..100 {
         assert_eq!(hearing(&mut net, by).alive, 29, "{by}");
     }
     (0..70).for_each(|member| net.start(member));
-    net.run(10_000);
+    net.run(life_known(100));
     assert!(all_alive(&mut net));
 }
 
@@ -293,7 +292,7 @@
         net.run(4_000);
         assert!(net.seen.iter().all(|seen| seen.belief != Belief::Gone || rolled.contains(&seen.of)));
         rolled.iter().for_each(|member| net.start(*member));
-        net.run(BACK);
+        net.run(life_known(net.size()));
         assert!(all_alive(&mut net));
         net.seen.clear();
     }
@@ -446,7 +445,7 @@
         net.cut(|_| 0);
         net.unblock();
         net.way = Way::default();
-        net.run(forgotten_after(SIZE) + KNOWN);
+        net.run(cut_known(SIZE).max(life_known(SIZE)));
         net.seen.clear();
         net.run(20_000);
         prop_assert!(net.seen.is_empty(), "{:?}", net.seen);
--- a/crates/gatekeeper/src/run.rs
+++ b/crates/gatekeeper/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts a gatekeeper's tasks and stops them in order.
 
-use crate::admin;
+use crate::admin::Admin;
 use crate::clients::{counter::CounterClient, discovery::DiscoveryClient};
 use crate::driver::{CALL_QUEUE, Driver, FRONT_QUEUE, WORLD_QUEUE};
 use crate::fronts::{access_log::AccessLog, ext_authz::ExtAuthz};
@@ -22,6 +22,7 @@
 use weirusher_clock::Clock;
 use weirusher_config::Config;
 use weirusher_core::{Engine, EngineError, Keyring};
+use weirusher_peers::{Peers, page};
 
 /// Most bytes of a Check, its headers and body included.
 const MOST_CHECK: usize = 256 * 1024;
@@ -58,6 +59,9 @@
     /// The decisions cannot start.
     #[error(transparent)]
     Engine(#[from] EngineError),
+    /// It cannot take part in its fleet.
+    #[error(transparent)]
+    Fleet(#[from] weirusher_peers::StartError),
 }
 
 /// A gatekeeper that runs.
@@ -66,6 +70,8 @@
     pub ext_authz: SocketAddr,
     /// Where the admin page is.
     pub admin: SocketAddr,
+    /// Where the fleet's datagrams are received, if there is a fleet.
+    pub fleet: Option<SocketAddr>,
     stop: watch::Sender<bool>,
     owed: watch::Receiver<usize>,
     drain: Duration,
@@ -105,7 +111,7 @@
     let count_limit = config.settings.count_limit;
     let engine = Engine::new(config.settings, ring, epoch, seed, clock.now())?;
     let (grpc, ext_authz) = listen(config.ext_authz).await?;
-    let (page, admin) = listen(config.admin).await?;
+    let (admin_listener, admin) = listen(config.admin).await?;
 
     let (driver, fronts) = mpsc::channel(FRONT_QUEUE);
     let (world_sender, world) = mpsc::channel(WORLD_QUEUE);
@@ -113,6 +119,12 @@
     let (owed_sender, owed) = watch::channel(0);
     let (stop, stopped) = watch::channel(false);
     let mut tasks = Vec::new();
+    let mut peers = None;
+    if let Some(fleet) = config.fleet {
+        let (handle, task) = Peers::start(fleet).await?;
+        peers = Some(handle);
+        tasks.push(tokio::spawn(task));
+    }
     let mut calls = None;
     if let Some(counter) = &config.counter {
         let (sender, receiver) = mpsc::channel(CALL_QUEUE);
@@ -147,7 +159,8 @@
     let log = AccessLog { rules, driver: driver.clone(), stats: stats.clone() };
     let server = serve_grpc(grpc, config.connections, check, log, stats.clone(), stopped);
     tasks.push(tokio::spawn(server));
-    tasks.push(tokio::spawn(admin::serve(page, driver)));
+    let fleet = peers.as_ref().map(|peers| peers.address);
+    tasks.push(tokio::spawn(page::serve(admin_listener, Admin { driver, peers })));
     let driver = Driver {
         engine,
         identity: (me, epoch),
@@ -162,7 +175,7 @@
     };
     tasks.push(tokio::spawn(driver.run()));
     let drain = Duration::from_secs_f64(config.drain);
-    Ok(Running { ext_authz, admin, stop, owed, drain, tasks })
+    Ok(Running { ext_authz, admin, fleet, stop, owed, drain, tasks })
 }
 
 async fn serve_grpc(
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,4 +16,4 @@
 mod run;
 mod worker;
 
-pub use run::{StartError, run};
+pub use run::{InFleet, StartError, run};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,7 +16,9 @@
 use tokio::sync::Notify;
 use tokio::task::{AbortHandle, spawn_local};
 use weirusher_clock::Clock;
+use weirusher_config::FleetConfig;
 use weirusher_core::{EngineError, Relay};
+use weirusher_peers::{Peers, page};
 use weirusher_platform::client::Names;
 use weirusher_platform::config::{Config, ConfigError};
 
@@ -47,6 +49,42 @@
     /// The decisions cannot start.
     #[error(transparent)]
     Engine(#[from] EngineError),
+    /// It cannot take part in its fleet.
+    #[error(transparent)]
+    Fleet(#[from] weirusher_peers::StartError),
+    /// The fleet's file is another gatekeeper's, or another fleet's.
+    #[error("[fleet] is of gatekeeper {0} of {1}, the configuration of {2} of {3}")]
+    OtherFleet(u16, usize, u32, u32),
+    /// The fleet's page cannot be listened on.
+    #[error("cannot listen on {0}: {1}")]
+    Page(SocketAddr, io::Error),
+}
+
+/// What a gatekeeper on the platform is told of others. The platform itself tells nothing of them.
+pub struct InFleet {
+    /// The members, and which it is.
+    pub config: FleetConfig,
+    /// Called with where datagrams are received, and where the page is.
+    pub listening: fn(SocketAddr, SocketAddr),
+}
+
+impl InFleet {
+    async fn start(self, config: &Config) -> Result<(), StartError> {
+        let (of, settings) = (&self.config.settings, &config.site.settings);
+        let (me, size) = (of.me, of.members.len());
+        if (u32::from(me), size) != (settings.me, settings.gateways as usize) {
+            return Err(StartError::OtherFleet(me, size, settings.me, settings.gateways));
+        }
+        let page = self.config.admin.unwrap_or(config.listen);
+        let fail = |error| StartError::Page(page, error);
+        let listener = TcpListener::bind(page).await.map_err(fail)?;
+        let page = listener.local_addr().map_err(fail)?;
+        let (peers, task) = Peers::start(self.config).await?;
+        (self.listening)(peers.address, page);
+        tokio::spawn(task);
+        tokio::spawn(page::serve(listener, peers));
+        Ok(())
+    }
 }
 
 /// Signals, waited for from the start: one that comes early must neither end the process nor be lost.
@@ -76,12 +114,15 @@
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(file: &Path) -> Result<usize, StartError> {
+pub async fn run(file: &Path, fleet: Option<InFleet>) -> Result<usize, StartError> {
     let mut signals = Signals::new().map_err(StartError::Signals)?;
     let config = read(file)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = Rc::new(listener.map_err(|e| StartError::Listen(config.listen, e))?);
     let hub = hub(&config)?;
+    if let Some(fleet) = fleet {
+        fleet.start(&config).await?;
+    }
     let mut world = World::new(hub.clone(), &config);
     if let Some(known) = config.known.clone() {
         hub.list(known);
--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -1,5 +1,6 @@
 //! The auditor: judges the five rules from a capture alone, and names the lines that show a break.
 
+use crate::beliefs::{Beliefs, Claim, Figures, Wrong};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::io::BufRead;
@@ -29,6 +30,8 @@
     QuotasKept,
     /// What is let in is counted at the counter, but for one burst a customer.
     Counted,
+    /// What gatekeepers state of each other is so.
+    Beliefs(Claim),
 }
 
 /// One break.
@@ -67,6 +70,9 @@
     pub units: (f64, f64),
     /// Most units that a customer was beyond its bucket, and what the bound allowed at that moment.
     pub beyond: (f64, f64),
+    /// What gatekeepers stated of each other, where they know of each other.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fleet: Option<Figures>,
     /// Breaks, the first ones.
     pub breaks: Vec<Break>,
     /// Breaks in all.
@@ -147,6 +153,9 @@
     cold: HashMap<String, ColdStart>,
     /// Starts anew of gatekeepers, and emptied counts, so far.
     forgotten: (u32, u32),
+    beliefs: Beliefs,
+    /// When the last line passed.
+    ended: f64,
 }
 
 /// Judges a capture.
@@ -181,7 +190,7 @@
     }
 
     fn take(&mut self, t: f64, line: usize, fact: Fact) {
-        self.audit.lines = line;
+        (self.audit.lines, self.ended) = (line, t);
         match fact {
             Fact::Day { name, rules } => (self.audit.day, self.rules) = (name, rules),
             Fact::Begin { req, customer, class, units, patience, leaves } => {
@@ -244,8 +253,24 @@
                 // The first start has nothing to forget.
                 self.forgotten.0 += u32::from(running && self.down.contains_key(&gk));
                 self.reachable(t, gk, running);
+                self.beliefs.running(gk, running, t);
             }
             Fact::Way { gk, open } => self.reachable(t, gk, open),
+            Fact::Peers { size, strangers } => self.beliefs.begin(size, strangers, t),
+            Fact::Groups { groups } => self.beliefs.groups(groups, t),
+            Fact::Blocked { from, to, blocked } => self.beliefs.blocked(from, to, blocked, t),
+            Fact::Paused { gk, paused } => {
+                // Whoever stands still answers late, or not at all.
+                self.reachable(t, gk, !paused);
+                self.beliefs.paused(gk, paused, t);
+            }
+            Fact::Twin { gk } => self.beliefs.twin(gk, t),
+            Fact::Datagram { bytes, fate, .. } => self.beliefs.datagram(bytes, fate, t),
+            Fact::States { gk, twin, asked, belief } => {
+                for Wrong { claim, since, text } in self.beliefs.states(gk, twin, asked, &belief) {
+                    self.broken(Rule::Beliefs(claim), None, since, vec![line], text);
+                }
+            }
             Fact::Ran { .. } | Fact::Report { .. } | Fact::Fault { .. } => {}
         }
     }
@@ -412,6 +437,12 @@
         if self.rules.counted {
             self.judge_counts();
         }
+        if self.beliefs.any() {
+            for Wrong { claim, since, text } in self.beliefs.finish(self.ended) {
+                self.broken(Rule::Beliefs(claim), None, since, vec![self.audit.lines], text);
+            }
+            self.audit.fleet = Some(std::mem::take(&mut self.beliefs.figures));
+        }
         self.audit.breaks.sort_by(|a, b| (a.rule, a.lines.last()).cmp(&(b.rule, b.lines.last())));
         self.audit
     }
--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -4,8 +4,13 @@
 
 /// Longest day, in seconds: a rehearsal ends by itself.
 const LONGEST: f64 = 3600.0;
-/// Largest fleet on one machine.
-const MOST_PROCESSES: usize = 64;
+/// Most gatekeepers on one machine, each a process.
+const MOST_GATEKEEPERS: usize = 400;
+/// Most checkers, which this process plays.
+const MOST_CHECKERS: usize = 64;
+
+/// Datagrams a second of a flood at most.
+const MOST_FLOOD: f64 = 10_000.0;
 
 /// A day: fleet, plans, load, faults.
 #[derive(Debug, Clone, Deserialize)]
@@ -33,6 +38,37 @@
     pub edge: EdgeHabits,
     #[serde(default)]
     pub fault: Vec<Fault>,
+    /// Gatekeepers know of each other.
+    pub peers: Option<Peers>,
+}
+
+/// How gatekeepers know of each other.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+#[allow(missing_docs)]
+pub struct Peers {
+    /// Between two questions what a gatekeeper believes.
+    pub ask_ms: u64,
+    /// Gatekeepers with another key.
+    pub strangers: Vec<usize>,
+    /// Gatekeepers that were told of one member more.
+    pub misled: Vec<usize>,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self { ask_ms: 250, strangers: Vec::new(), misled: Vec::new() }
+    }
+}
+
+/// The program that a gatekeeper's process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[allow(missing_docs)]
+pub enum Program {
+    #[default]
+    Run,
+    Node,
 }
 
 /// The fleet.
@@ -40,6 +76,7 @@
 #[serde(deny_unknown_fields, default)]
 #[allow(missing_docs)]
 pub struct Fleet {
+    pub program: Program,
     pub gatekeepers: usize,
     pub checkers: usize,
     pub cores: usize,
@@ -55,6 +92,7 @@
 impl Default for Fleet {
     fn default() -> Self {
         Self {
+            program: Program::Run,
             gatekeepers: 3,
             checkers: 6,
             cores: 3,
@@ -192,8 +230,41 @@
 #[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
 #[allow(missing_docs)]
 pub enum Kind {
-    /// kill -9, and a start anew when it is over.
-    KillGatekeepers { which: Vec<usize> },
+    /// kill -9, and a start anew when it is over, with a wall clock that is so far off.
+    KillGatekeepers {
+        which: Vec<usize>,
+        #[serde(default)]
+        clock_shift_seconds: f64,
+    },
+    /// SIGSTOP, and SIGCONT when it is over.
+    PauseGatekeepers { which: Vec<usize> },
+    /// A second process under the same number, as by mistake; killed when it is over.
+    TwinGatekeeper { which: Vec<usize> },
+    /// Datagrams between gatekeepers meet this.
+    PeerWay {
+        #[serde(default)]
+        loss: f64,
+        #[serde(default)]
+        double: f64,
+        #[serde(default)]
+        delay_ms: [f64; 2],
+        #[serde(default)]
+        replay: f64,
+        #[serde(default)]
+        replay_after_seconds: f64,
+    },
+    /// Gatekeepers are cut into so many groups, by the rest of their number or, in stripes, by neighbourhood.
+    PeerCut {
+        groups: usize,
+        #[serde(default)]
+        stripes: bool,
+    },
+    /// One direction from each of these to each of those is cut.
+    PeerBlock { from: Vec<usize>, to: Vec<usize> },
+    /// Each hears the next one only.
+    PeerRing,
+    /// A gatekeeper is flooded as if from another, by forged datagrams or by true ones over and over.
+    PeerFlood { from: usize, to: usize, per_second: f64, forged: bool },
     /// SIGTERM, and a start anew when it is over.
     StopGatekeepers { which: Vec<usize> },
     /// The counter misbehaves.
@@ -235,6 +306,20 @@
     Hot { plan: usize, factor: f64 },
 }
 
+impl Kind {
+    fn between_peers(&self) -> bool {
+        matches!(
+            self,
+            Self::TwinGatekeeper { .. }
+                | Self::PeerWay { .. }
+                | Self::PeerCut { .. }
+                | Self::PeerBlock { .. }
+                | Self::PeerRing
+                | Self::PeerFlood { .. }
+        )
+    }
+}
+
 /// What a misbehaving counter does.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -301,8 +386,14 @@
             "`seconds` must be above 0 and at most an hour",
         );
         let (gatekeepers, checkers) = (self.fleet.gatekeepers, self.fleet.checkers);
-        expect((1..=MOST_PROCESSES).contains(&gatekeepers), "`gatekeepers` must be from 1 to 64");
-        expect((1..=MOST_PROCESSES).contains(&checkers), "`checkers` must be from 1 to 64");
+        expect((1..=MOST_GATEKEEPERS).contains(&gatekeepers), "`gatekeepers` must be from 1 to 400");
+        expect((1..=MOST_CHECKERS).contains(&checkers), "`checkers` must be from 1 to 64");
+        let alone = self.peers.is_none();
+        expect(alone || gatekeepers > 1, "gatekeepers that know of each other are two or more");
+        expect(
+            self.fleet.program == Program::Run || self.plan.iter().all(|plan| plan.customers == 0),
+            "a `node` is asked nothing here: plans have no customers",
+        );
         expect(!self.plan.is_empty() && !self.class.is_empty(), "a day needs a plan and a class");
         for plan in &self.plan {
             expect(
@@ -313,19 +404,34 @@
         for fault in &self.fault {
             expect(fault.at >= 0.0 && fault.at < self.seconds, "a fault begins within the day");
             let (which, most) = match &fault.kind {
-                Kind::KillGatekeepers { which } | Kind::StopGatekeepers { which } => {
-                    (which.as_slice(), gatekeepers)
+                Kind::KillGatekeepers { which, .. }
+                | Kind::StopGatekeepers { which }
+                | Kind::PauseGatekeepers { which }
+                | Kind::TwinGatekeeper { which } => (which.as_slice(), gatekeepers),
+                Kind::PeerBlock { from, to } => {
+                    expect(
+                        from.iter().all(|n| *n < gatekeepers),
+                        "a fault names what the fleet does not have",
+                    );
+                    (to.as_slice(), gatekeepers)
+                }
+                Kind::PeerFlood { from, to, per_second, .. } => {
+                    let few = *from < gatekeepers && (1.0..=MOST_FLOOD).contains(per_second);
+                    expect(few, "a flood is from a gatekeeper, 1 to 10,000 datagrams a second");
+                    (std::slice::from_ref(to), gatekeepers)
                 }
                 Kind::Drain { which } | Kind::KillCheckers { which } => (which.as_slice(), checkers),
                 Kind::SlowCheckers { which, .. } => (which.as_slice(), checkers),
                 Kind::Link { between: Between::EdgeChecker, which, .. } => (which.as_slice(), checkers),
                 Kind::Link { which, .. } => (which.as_slice(), gatekeepers),
                 Kind::Hot { plan, .. } => (std::slice::from_ref(plan), self.plan.len()),
+                Kind::PeerWay { .. } | Kind::PeerCut { .. } | Kind::PeerRing => (&[][..], 0),
                 Kind::Counter { .. } | Kind::CounterEmptied | Kind::CounterGone | Kind::ListFrozen => {
                     (&[][..], 0)
                 }
             };
             expect(which.iter().all(|n| *n < most), "a fault names what the fleet does not have");
+            expect(!alone || !fault.kind.between_peers(), "a fault between gatekeepers needs [peers]");
         }
         found
     }
--- a/crates/rehearsal/src/faults.rs
+++ b/crates/rehearsal/src/faults.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Fleet, FleetError};
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant};
-use weirusher_standins::{CounterFault, Fact, Link};
+use weirusher_standins::{CounterFault, Fact, Link, PeerWay, Recorder, Switch};
 
 /// A fault's beginning or end.
 struct Step {
@@ -48,16 +48,16 @@
 ) -> Result<bool, FleetError> {
     let mut well = true;
     match &fault.kind {
-        Kind::KillGatekeepers { which } => {
-            for number in which {
-                fleet.kill_gatekeeper(*number).await;
-            }
+        Kind::KillGatekeepers { which, .. } => fleet.kill_gatekeepers(which).await,
+        Kind::PauseGatekeepers { which } => {
+            which.iter().for_each(|number| fleet.pause_gatekeeper(*number, true));
         }
-        Kind::StopGatekeepers { which } => {
+        Kind::TwinGatekeeper { which } => {
             for number in which {
-                well &= fleet.stop_gatekeeper(*number).await;
+                fleet.twin(*number, true).await?;
             }
         }
+        Kind::StopGatekeepers { which } => well = fleet.stop_gatekeepers(which).await,
         Kind::Counter { how, seconds } => fleet.counter.set_fault(match how {
             CounterHow::Silent => CounterFault::Silent,
             CounterHow::Half => CounterFault::Half,
@@ -90,19 +90,81 @@
             }
         }
         Kind::Hot { plan, factor } => factors.send_modify(|f| f[*plan] = *factor),
+        Kind::PeerWay { .. }
+        | Kind::PeerCut { .. }
+        | Kind::PeerBlock { .. }
+        | Kind::PeerRing
+        | Kind::PeerFlood { .. } => between_peers(fleet, fault, true),
     }
     Ok(well)
 }
 
+/// Faults of the network between gatekeepers.
+fn between_peers(fleet: &mut Fleet, fault: &Fault, begins: bool) {
+    let Some(peers) = &mut fleet.peers else { return };
+    let (size, recorder) = (peers.switch.addresses.len(), &fleet.recorder);
+    let ring = |from: usize, to: usize| from == (to + 1) % size;
+    match &fault.kind {
+        Kind::PeerWay { loss, double, delay_ms: [least, most], replay, replay_after_seconds } => {
+            let way = PeerWay {
+                loss: *loss,
+                double: *double,
+                delay: (least / 1000.0, most / 1000.0),
+                replay: *replay,
+                replay_after: *replay_after_seconds,
+            };
+            peers.switch.set_way(if begins { way } else { PeerWay::default() });
+        }
+        Kind::PeerCut { groups, stripes } => {
+            let count = if begins { (*groups).max(1) } else { 1 };
+            let group = |number: usize| if *stripes { number * count / size } else { number % count };
+            let groups: Vec<usize> = (0..size).map(group).collect();
+            peers.switch.cut(groups.clone());
+            recorder.note(Fact::Groups { groups });
+        }
+        Kind::PeerBlock { from, to } => {
+            let pairs = from.iter().flat_map(|from| to.iter().map(move |to| (*from, *to)));
+            block(&peers.switch, recorder, pairs.filter(|(from, to)| from != to), begins);
+        }
+        Kind::PeerRing => {
+            let pairs = (0..size).flat_map(|from| (0..size).map(move |to| (from, to)));
+            block(
+                &peers.switch,
+                recorder,
+                pairs.filter(|(from, to)| from != to && !ring(*from, *to)),
+                begins,
+            );
+        }
+        Kind::PeerFlood { from, to, per_second, forged } if begins => {
+            peers.switch.flood(*from, *to, *per_second, fault.lasts, *forged);
+        }
+        _ => {}
+    }
+}
+
+fn block(switch: &Switch, recorder: &Recorder, pairs: impl Iterator<Item = (usize, usize)>, blocked: bool) {
+    for (from, to) in pairs {
+        switch.block(from, to, blocked);
+        recorder.note(Fact::Blocked { from, to, blocked });
+    }
+}
+
 async fn end(
     fleet: &mut Fleet,
     fault: &Fault,
     factors: &watch::Sender<Vec<f64>>,
 ) -> Result<bool, FleetError> {
     match &fault.kind {
-        Kind::KillGatekeepers { which } | Kind::StopGatekeepers { which } => {
+        Kind::KillGatekeepers { which, clock_shift_seconds } => {
+            fleet.start_gatekeepers(which, *clock_shift_seconds).await?;
+        }
+        Kind::StopGatekeepers { which } => fleet.start_gatekeepers(which, 0.0).await?,
+        Kind::PauseGatekeepers { which } => {
+            which.iter().for_each(|number| fleet.pause_gatekeeper(*number, false));
+        }
+        Kind::TwinGatekeeper { which } => {
             for number in which {
-                fleet.start_gatekeeper(*number).await?;
+                fleet.twin(*number, false).await?;
             }
         }
         Kind::Counter { .. } => fleet.counter.set_fault(CounterFault::None),
@@ -134,6 +196,11 @@
             }
         }
         Kind::Hot { plan, .. } => factors.send_modify(|f| f[*plan] = 1.0),
+        Kind::PeerWay { .. }
+        | Kind::PeerCut { .. }
+        | Kind::PeerBlock { .. }
+        | Kind::PeerRing
+        | Kind::PeerFlood { .. } => between_peers(fleet, fault, false),
     }
     Ok(true)
 }
--- a/crates/rehearsal/src/fleet.rs
+++ b/crates/rehearsal/src/fleet.rs
@@ -1,6 +1,8 @@
 //! The fleet of a day: gatekeepers as processes of their own, stand-ins in this one, links between them.
 
-use crate::day::Day;
+use crate::day::{Day, Program};
+use crate::peers::{self, PeerNet};
+use nix::sys::signal::Signal;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -10,11 +12,12 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
+use tokio::task::JoinSet;
 use weirusher::{Lifecycle, Server};
 use weirusher_core::{Key, Keyring};
 use weirusher_standins::{
     CHANCE, Checker, CheckerSpec, Cold, ColdBook, Counter, Discovery, Edge, Fact, Link, Recorder, RuleBook,
-    ServerState,
+    Scripted, ServerState,
 };
 
 /// How long a gatekeeper may take to say where it listens, and to end when it is told to.
@@ -61,18 +64,26 @@
 /// What a gatekeeper prints when it listens.
 #[derive(Debug, Deserialize)]
 struct Listening {
-    ext_authz: SocketAddr,
+    /// A `node` has none here.
+    ext_authz: Option<SocketAddr>,
     admin: SocketAddr,
+    /// Where the datagrams of its fleet are received.
+    fleet: Option<SocketAddr>,
 }
 
 pub(crate) struct Gatekeeper {
     child: Option<Child>,
+    /// A second process under its number.
+    twin: Option<Child>,
     admin: SocketAddr,
     /// From the edge.
     pub front: Link,
     pub to_counter: Link,
     pub to_discovery: Link,
     config: PathBuf,
+    /// Its configuration without what it is told of others, and the file of that for a `node`.
+    text: String,
+    fleet_file: PathBuf,
 }
 
 pub(crate) struct CheckerSlot {
@@ -91,6 +102,8 @@
     pub discovery: Discovery,
     pub gatekeepers: Vec<Gatekeeper>,
     pub checkers: Vec<CheckerSlot>,
+    pub peers: Option<PeerNet>,
+    no_workers: Scripted,
     exe: PathBuf,
     seed: u64,
 }
@@ -127,21 +140,51 @@
             let to_discovery = Link::start(Some(discovery.address)).await.map_err(io("a link"))?;
             let config = dir.join(format!("gatekeeper-{number}.toml"));
             let keep = dir.join(format!("list-{number}.json"));
+            let fleet_file = dir.join(format!("fleet-{number}.toml"));
             let text = config_text(&day, number, to_counter.address, to_discovery.address, &keep);
-            std::fs::write(&config, text).map_err(io("a configuration"))?;
-            let admin = ANYWHERE;
-            gatekeepers.push(Gatekeeper { child: None, admin, front, to_counter, to_discovery, config });
+            gatekeepers.push(Gatekeeper {
+                child: None,
+                twin: None,
+                admin: ANYWHERE,
+                front,
+                to_counter,
+                to_discovery,
+                config,
+                text,
+                fleet_file,
+            });
         }
+        let peers = match day.peers.clone() {
+            Some(habits) => {
+                Some(PeerNet::start(&day, habits, &recorder).await.map_err(io("the peers' network"))?)
+            }
+            None => None,
+        };
+        let no_workers = peers::no_workers().await.map_err(io("a list service"))?;
         let fronts: Vec<SocketAddr> = gatekeepers.iter().map(|g| g.front.address).collect();
         let edge = Edge::new(&fronts, recorder.clone()).map_err(|e| FleetError::Edge(e.into()))?;
         let (exe, seed) = (exe.to_path_buf(), day.seed);
-        let mut fleet = Self { day, recorder, edge, counter, discovery, gatekeepers, checkers, exe, seed };
+        let mut fleet = Self {
+            day,
+            recorder,
+            edge,
+            counter,
+            discovery,
+            gatekeepers,
+            checkers,
+            peers,
+            no_workers,
+            exe,
+            seed,
+        };
         for number in 0..fleet.checkers.len() {
             fleet.start_checker(number, false).await?;
         }
         fleet.publish();
-        for number in 0..fleet.gatekeepers.len() {
-            fleet.start_gatekeeper(number).await?;
+        let all: Vec<usize> = (0..fleet.gatekeepers.len()).collect();
+        fleet.start_gatekeepers(&all, 0.0).await?;
+        if let Some(peers) = &mut fleet.peers {
+            peers.ask(&fleet.recorder);
         }
         Ok(fleet)
     }
@@ -219,61 +262,152 @@
 
     // ---- Gatekeepers ----
 
-    pub async fn start_gatekeeper(&mut self, number: usize) -> Result<(), FleetError> {
-        let gatekeeper = &mut self.gatekeepers[number];
-        let mut child = Command::new(&self.exe)
-            .args(["run", "--config"])
-            .arg(&gatekeeper.config)
-            .stdout(Stdio::piped())
-            .stdin(Stdio::null())
-            .kill_on_drop(true)
-            .spawn()
-            .map_err(io("a gatekeeper"))?;
-        let stdout = child.stdout.take().ok_or(FleetError::NoStart(number))?;
-        let mut lines = BufReader::new(stdout).lines();
-        let line = tokio::time::timeout(PATIENCE, lines.next_line()).await;
-        let Ok(Ok(Some(line))) = line else { return Err(FleetError::NoStart(number)) };
-        let listening: Listening = serde_json::from_str(&line).map_err(|_| FleetError::NoStart(number))?;
-        gatekeeper.front.retarget(Some(listening.ext_authz));
-        gatekeeper.admin = listening.admin;
-        gatekeeper.child = Some(child);
-        self.recorder.note(Fact::Gatekeeper { gk: number, running: true });
+    /// Starts gatekeepers, all at once, with a wall clock that is `shift` seconds off.
+    pub async fn start_gatekeepers(&mut self, which: &[usize], shift: f64) -> Result<(), FleetError> {
+        let mut starting = JoinSet::new();
+        for number in which.iter().copied() {
+            let child = self.spawn(number, shift)?;
+            starting.spawn(async move { listening(child, number).await });
+        }
+        while let Some(started) = starting.join_next().await {
+            let (number, child, at) = started.expect("it does not panic")?;
+            let gatekeeper = &mut self.gatekeepers[number];
+            gatekeeper.front.retarget(at.ext_authz);
+            gatekeeper.admin = at.admin;
+            gatekeeper.child = Some(child);
+            if let Some(peers) = &mut self.peers {
+                peers.set(number, false, at.fleet.map(|fleet| (fleet, at.admin)));
+            }
+            self.recorder.note(Fact::Gatekeeper { gk: number, running: true });
+        }
         Ok(())
     }
 
-    pub async fn kill_gatekeeper(&mut self, number: usize) {
-        // Noted first: what is asked from here on may meet a dead process.
-        self.recorder.note(Fact::Gatekeeper { gk: number, running: false });
-        if let Some(mut child) = self.gatekeepers[number].child.take() {
-            let _ = child.kill().await; // It may have ended by itself; the audit sees that.
+    /// Starts a gatekeeper's process, with its configuration written anew.
+    fn spawn(&self, number: usize, shift: f64) -> Result<Child, FleetError> {
+        let gatekeeper = &self.gatekeepers[number];
+        let fleet = |own| self.peers.as_ref().map(|peers| peers.config(number, own, shift));
+        let write = |file: &Path, text: &str| std::fs::write(file, text).map_err(io("a configuration"));
+        let mut command = Command::new(&self.exe);
+        match self.day.fleet.program {
+            Program::Run => {
+                let text = gatekeeper.text.clone() + &fleet(false).unwrap_or_default();
+                write(&gatekeeper.config, &text)?;
+                command.args(["run", "--config"]).arg(&gatekeeper.config);
+            }
+            Program::Node => {
+                let size = self.peers.as_ref().map_or(1, |peers| peers.size_told(number));
+                peers::node_config(number, size, self.no_workers.address, &gatekeeper.config)
+                    .map_err(io("a configuration"))?;
+                command.args(["node", "--config"]).arg(&gatekeeper.config);
+                if let Some(text) = fleet(true) {
+                    write(&gatekeeper.fleet_file, &text)?;
+                    command.arg("--fleet").arg(&gatekeeper.fleet_file);
+                }
+            }
         }
-        self.gatekeepers[number].front.retarget(None);
+        command.stdout(Stdio::piped()).stdin(Stdio::null()).kill_on_drop(true);
+        command.spawn().map_err(io("a gatekeeper"))
     }
 
-    /// SIGTERM, and the way is closed to new connections; tells whether it ended well, in time.
-    pub async fn stop_gatekeeper(&mut self, number: usize) -> bool {
-        let Some(mut child) = self.gatekeepers[number].child.take() else { return true };
-        self.recorder.note(Fact::Stopping { gk: number });
-        let signalled = child.id().and_then(|id| {
-            let id = nix::unistd::Pid::from_raw(i32::try_from(id).ok()?);
-            nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).ok()
-        });
-        let ended = tokio::time::timeout(PATIENCE, child.wait()).await;
-        self.recorder.note(Fact::Gatekeeper { gk: number, running: false });
+    pub async fn kill_gatekeepers(&mut self, which: &[usize]) {
+        for number in which {
+            // Noted first: what is asked from here on may meet a dead process.
+            self.recorder.note(Fact::Gatekeeper { gk: *number, running: false });
+            if let Some(child) = &mut self.gatekeepers[*number].child {
+                let _ = child.start_kill(); // It may have ended by itself; the audit sees that.
+            }
+        }
+        for number in which {
+            if let Some(mut child) = self.gatekeepers[*number].child.take() {
+                let _ = child.wait().await; // As above.
+            }
+            self.gone(*number);
+        }
+    }
+
+    fn gone(&mut self, number: usize) {
         self.gatekeepers[number].front.retarget(None);
-        signalled.is_some() && matches!(ended, Ok(Ok(status)) if status.success())
+        if let Some(peers) = &mut self.peers {
+            peers.set(number, false, None);
+        }
     }
 
-    pub async fn stop(mut self) -> bool {
+    /// SIGSTOP or SIGCONT.
+    pub fn pause_gatekeeper(&self, number: usize, paused: bool) {
+        let signal = if paused { Signal::SIGSTOP } else { Signal::SIGCONT };
+        let Some(child) = &self.gatekeepers[number].child else { return };
+        // It stands still from before the signal on, and goes on after it: nothing is expected of it in between.
+        if paused {
+            self.recorder.note(Fact::Paused { gk: number, paused });
+        }
+        send(child, signal);
+        if !paused {
+            self.recorder.note(Fact::Paused { gk: number, paused });
+        }
+    }
+
+    /// Starts a second process under a gatekeeper's number, or kills it.
+    pub async fn twin(&mut self, number: usize, runs: bool) -> Result<(), FleetError> {
+        let mut at = None;
+        if runs {
+            let (_, child, listens) = listening(self.spawn(number, 0.0)?, number).await?;
+            self.gatekeepers[number].twin = Some(child);
+            at = listens.fleet.map(|fleet| (fleet, listens.admin));
+            self.recorder.note(Fact::Twin { gk: number });
+        } else if let Some(mut child) = self.gatekeepers[number].twin.take() {
+            let _ = child.kill().await; // It may have ended by itself.
+        }
+        if let Some(peers) = &mut self.peers {
+            peers.set(number, true, at);
+        }
+        Ok(())
+    }
+
+    /// SIGTERM to all of these, and their ways are closed to new connections as they end; tells whether all ended well,
+    /// in time.
+    pub async fn stop_gatekeepers(&mut self, which: &[usize]) -> bool {
         let mut well = true;
-        for number in 0..self.gatekeepers.len() {
-            well &= self.stop_gatekeeper(number).await;
+        for number in which.iter().copied() {
+            if let Some(child) = &self.gatekeepers[number].child {
+                self.recorder.note(Fact::Stopping { gk: number });
+                well &= send(child, Signal::SIGTERM);
+            }
+        }
+        for number in which.iter().copied() {
+            let Some(mut child) = self.gatekeepers[number].child.take() else { continue };
+            let ended = tokio::time::timeout(PATIENCE, child.wait()).await;
+            self.recorder.note(Fact::Gatekeeper { gk: number, running: false });
+            self.gone(number);
+            well &= matches!(ended, Ok(Ok(status)) if status.success());
         }
+        well
+    }
+
+    pub async fn stop(mut self) -> bool {
+        let all: Vec<usize> = (0..self.gatekeepers.len()).collect();
+        let well = self.stop_gatekeepers(&all).await;
         self.recorder.flush();
         well
     }
 }
 
+/// Tells whether the signal could be sent.
+fn send(child: &Child, signal: Signal) -> bool {
+    let id = child.id().and_then(|id| i32::try_from(id).ok());
+    id.is_some_and(|id| nix::sys::signal::kill(nix::unistd::Pid::from_raw(id), signal).is_ok())
+}
+
+/// Waits until a gatekeeper says where it listens.
+async fn listening(mut child: Child, number: usize) -> Result<(usize, Child, Listening), FleetError> {
+    let stdout = child.stdout.take().ok_or(FleetError::NoStart(number))?;
+    let mut lines = BufReader::new(stdout).lines();
+    let line = tokio::time::timeout(PATIENCE, lines.next_line()).await;
+    let Ok(Ok(Some(line))) = line else { return Err(FleetError::NoStart(number)) };
+    let listening = serde_json::from_str(&line).map_err(|_| FleetError::NoStart(number))?;
+    Ok((number, child, listening))
+}
+
 /// A plan's name, and its first few customers.
 fn few(plan: &crate::day::DayPlan) -> (String, Vec<String>) {
     let names = (0..plan.customers.min(3)).map(|number| customer(&plan.name, number));
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -4,13 +4,16 @@
 #![warn(missing_docs)]
 
 mod audit;
+mod beliefs;
 mod day;
 mod faults;
 mod fleet;
 mod load;
+mod peers;
 mod rehearse;
 
 pub use audit::{Audit, Break, CaptureError, Rule, audit};
+pub use beliefs::{Claim, Figures};
 pub use day::{Day, DayError};
 pub use fleet::{Addresses, FleetError};
 pub use rehearse::{Options, Rehearsal, RehearseError, hold, rehearse};
--- a/crates/rehearsal/src/rehearse.rs
+++ b/crates/rehearsal/src/rehearse.rs
@@ -161,6 +161,9 @@
         );
         let (beyond, allowed) = audit.beyond;
         let _ = writeln!(text, "  quotas     {beyond:.1} units beyond at most, {allowed:.1} allowed then");
+        if let Some(fleet) = &audit.fleet {
+            text += &fleet.table();
+        }
         if self.skipped > 0 {
             let _ = writeln!(text, "  not asked  {} tries: too many were open", self.skipped);
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,11 +13,13 @@
 mod link;
 mod record;
 mod scripted;
+mod switch;
 
 pub use checker::{CHANCE, Checker, CheckerSpec, Cold};
 pub use counter::{Counter, CounterFault};
 pub use discovery::Discovery;
 pub use edge::{Edge, End, Habits, Outcome, Try};
 pub use link::{Link, LinkFault};
-pub use record::{ColdBook, Door, Fact, Final, Line, Recorder, RuleBook, ServerState, Verdict};
+pub use record::{Belief, ColdBook, Door, Fact, Fate, Final, Line, Recorder, RuleBook, ServerState, Verdict};
 pub use scripted::{Came, Reply, Script, Scripted, counting, frame};
+pub use switch::{PeerWay, Switch};
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -121,6 +121,41 @@
     Fell,
 }
 
+/// What became of a datagram between two gatekeepers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fate {
+    /// It arrived.
+    Passed,
+    /// A copy of it arrived as well.
+    Doubled,
+    /// A copy arrived later, or once more.
+    Replayed,
+    /// It was lost.
+    Lost,
+    /// There was no way from one to the other.
+    Cut,
+    /// No gatekeeper sent it.
+    Forged,
+}
+
+/// What a gatekeeper states of the others.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Belief {
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Members that are alive, and those that are gone.
+    pub alive: Vec<usize>,
+    /// See `alive`.
+    pub gone: Vec<usize>,
+    /// Share of the fleet that it counts on.
+    pub share: f64,
+    /// Members that it hears directly.
+    pub heard: u16,
+    /// It says that another process has its number.
+    pub superseded: bool,
+}
+
 /// One thing that passed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
@@ -224,6 +259,45 @@
     Fault {
         text: String,
     },
+    /// Gatekeepers that know of each other: so many, but for these, which have another key or were told another size;
+    /// all were started.
+    Peers {
+        size: usize,
+        strangers: Vec<usize>,
+    },
+    /// A datagram between two gatekeepers.
+    Datagram {
+        from: usize,
+        to: usize,
+        bytes: usize,
+        fate: Fate,
+    },
+    /// The network between gatekeepers: the group of each; groups do not reach each other.
+    Groups {
+        groups: Vec<usize>,
+    },
+    /// A direction between two gatekeepers is cut, or mended.
+    Blocked {
+        from: usize,
+        to: usize,
+        blocked: bool,
+    },
+    /// A gatekeeper's process is stopped where it is, or goes on.
+    Paused {
+        gk: usize,
+        paused: bool,
+    },
+    /// A second process is started under a gatekeeper's number.
+    Twin {
+        gk: usize,
+    },
+    /// What a gatekeeper states, `twin` the second one under its number. Asked at `asked`.
+    States {
+        gk: usize,
+        twin: bool,
+        asked: f64,
+        belief: Belief,
+    },
 }
 
 /// A fact and when it passed, in seconds from the day's start.
