--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -32,10 +32,10 @@
 }
 
 macro_rules! days {
-    ($($name:ident),*) => { $( #[test] fn $name() { rehearse(stringify!($name)); } )* };
+    ($($name:ident),*) => { $( #[test] fn $name() { rehearse(&stringify!($name).replace('_', "-")); } )* };
 }
 
-days!(quiet, answers, effects, drains, cold, ceilings);
+days!(quiet, answers, effects, drains, cold, ceilings, fleet_cut, fleet_die, fleet_pause);
 
 #[test]
 fn a_held_fleet_tells_its_addresses_and_ends_with_its_input() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,7 +30,7 @@
 pub use replay::Window;
 pub use rings::Rings;
 pub use seal::{LEAST_KEY, Seal};
-pub use table::{Change, Evidence, State, Table};
+pub use table::{Change, Evidence, Heard, State, Table};
 
 /// Milliseconds on the process's monotonic clock, from any origin.
 pub type Millis = u64;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -49,7 +49,7 @@
 }
 
 /// A member's state became another.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
 pub struct Change {
     /// Its number.
     pub member: u16,
@@ -60,7 +60,7 @@
 }
 
 /// What one believes of one member.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Record {
     pub state: State,
     /// When the state began.
@@ -86,7 +86,7 @@
 }
 
 /// What one member believes of all others.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Table {
     me: u16,
     records: Vec<Record>,
