--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
-# Takes out one guard at a time, in a copy of the tree, and rehearses the day that is there for it: the day must fail.
+# Takes out one guard at a time, in a copy of the tree, and rehearses the day that is there for it, or, for `test:NAME`,
+# runs the tests of a package: they must fail.
 # Usage: tools/mutants.sh [NAME …]; prints one line a mutant, ends with 1 where one lives.
 set -euo pipefail
 root="$(cd "$(dirname "$0")/.." && pwd)"
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
 
-# name | file | what stands there | what the mutant has | day
+# name | file | what stands there | what the mutant has | day or test:package
 mutants=(
   "ticket-used-twice|crates/core/src/ticket.rs|if self.used.contains(&id) {|if false {|effects"
   "ticket-code|crates/core/src/ticket.rs|.verify_truncated_left(&code)|.verify_truncated_left(\&Self::mac(begun, signed).finalize().into_bytes()[..CODE])|effects"
@@ -18,6 +19,30 @@
   "safe-share|src/logic.rs|if self.share_covers(\&key, plan, units) {|if true {|ceilings"
   "held-released|src/logic.rs|Some(Due::Hold(key)) => self.stop_holding(\&key, token),|Some(Due::Hold(_)) => {}|ceilings"
   "listener-closed|crates/gatekeeper/src/run.rs|_ = stopped.wait_for(.stop. .stop) => return None,|_ = std::future::pending::<()>() => return None,|answers"
+  "fleet-proof|crates/fleet/src/fleet.rs|if header.knows != self.incarnation {|if false {|test:weirusher-fleet"
+  "fleet-replay|crates/fleet/src/fleet.rs|!link.window.take(header.sequence) {|false {|test:weirusher-fleet"
+  "fleet-stale|crates/fleet/src/fleet.rs|if header.incarnation < known {|if false {|test:weirusher-fleet"
+  "fleet-code|crates/fleet/src/seal.rs|expected.verify_truncated_left(code).ok()?;|let _ = (code, expected);|test:weirusher-fleet"
+  "fleet-flood|crates/fleet/src/fleet.rs|if !self.links.of(member).read.take(now) \|\| !self.opened.take(now) {|if false {|test:weirusher-fleet"
+  "fleet-place|crates/fleet/src/fleet.rs|if packet.header.from != member {|if false {|test:weirusher-fleet"
+  "fleet-size|crates/fleet/src/fleet.rs|if packet.header.size != self.table.size() {|if false {|test:weirusher-fleet"
+  "fleet-numbers|crates/fleet/src/fleet.rs|if !packet.fits(self.table.size()) {|if false {|test:weirusher-fleet"
+  "fleet-away|crates/fleet/src/fleet.rs|if away < AWAY |if true |test:weirusher-fleet"
+  "fleet-late|crates/fleet/src/fleet.rs|self.table.hold(now + 2 * BEAT);||test:weirusher-fleet"
+  "fleet-catch-up|crates/fleet/src/fleet.rs|self.beat += u32::try_from((now - self.due) / BEAT).unwrap_or(0);||test:weirusher-fleet"
+  "fleet-above|crates/fleet/src/fleet.rs|if now < self.starting {|if false {|test:weirusher-fleet"
+  "fleet-superseded|crates/fleet/src/fleet.rs|self.superseded = true;||test:weirusher-fleet"
+  "fleet-overtaken|crates/fleet/src/fleet.rs|if evidence >= self.table.newest(header.from) {|if true {|test:weirusher-fleet"
+  "fleet-ask|crates/fleet/src/fleet.rs|} else if silent >= ask \&\& !link.asked {|} else if false {|test:weirusher-fleet"
+  "fleet-gone-copies|crates/fleet/src/fleet.rs|if copy.age == GONE {|if false {|test:weirusher-fleet"
+  "fleet-watch|crates/fleet/src/fleet.rs|self.links.invite(header.from, now);||test:weirusher-fleet"
+  "fleet-mending|crates/fleet/src/fleet.rs|} else if now >= self.mending + DEATH_KNOWN {|} else {|test:weirusher-fleet"
+  "fleet-contradicted|crates/fleet/src/table.rs|if record.newest.contradicts(last) {|if false {|test:weirusher-fleet"
+  "fleet-cleared|crates/fleet/src/table.rs|if evidence.contradicts(record.accused) {|if false {|test:weirusher-fleet"
+  "fleet-deaf|crates/fleet/src/table.rs|let accused = !deaf \&\& |let accused = |test:weirusher-fleet"
+  "fleet-revival|crates/fleet/src/table.rs|State::Gone => sent > record.since,|State::Gone => true,|test:weirusher-fleet"
+  "fleet-forgotten|crates/fleet/src/table.rs|now.saturating_sub(record.lived.max(self.begun)) >= forgotten;|false;|test:weirusher-fleet"
+  "fleet-plausible|crates/fleet/src/fleet.rs|if self.table.plausible(member, copy.beat, now) {|if true {|test:weirusher-fleet"
   "attempt-limit|crates/core/src/engine.rs|Due::Limit(seq, attempt) => {|Due::Limit(seq, attempt) if seq == 0 => {|answers"
 )
 
@@ -28,7 +53,9 @@
 
 failed=0
 for line in "${mutants[@]}"; do
-  IFS='|' read -r name file from to day <<<"$line"
+  # A bar within code is written `\|`.
+  IFS='|' read -r name file from to day <<<"${line//\\|/$'\x01'}"
+  from="${from//$'\x01'/|}"
   if [ "$#" -gt 0 ] && [[ ! " $* " == *" $name "* ]]; then continue; fi
   rm -rf "$work/tree"
   copy
@@ -44,6 +71,18 @@
     text = text.replace("Due::Parked(seq) => {", "Due::Limit(..) => {}\n                Due::Parked(seq) => {", 1)
 open(path, "w").write(text)
 PY
+  if [[ "$day" == test:* ]]; then
+    tests=(cargo test --quiet --locked -p "${day#test:}" --manifest-path "$work/tree/Cargo.toml")
+    export CARGO_TARGET_DIR="$root/target/mutants"
+    if ! "${tests[@]}" --no-run 2>/dev/null; then
+      echo "$name: does not build"; failed=1
+    elif out="$(timeout 300 "${tests[@]}" 2>/dev/null)"; then
+      echo "$name: LIVES in the tests of ${day#test:}"; failed=1
+    else
+      echo "$name: found by $(grep -m1 -oE "^test [a-z_:]+ \.\.\. FAILED|^    [a-z_:]+$" <<<"$out" | tr -s ' ' | cut -c1-120)"
+    fi
+    continue
+  fi
   CARGO_TARGET_DIR="$root/target/mutants" cargo build --quiet --release --locked -p weirusher-cli \
     --manifest-path "$work/tree/Cargo.toml" 2>/dev/null || { echo "$name: does not build"; failed=1; continue; }
   if out="$(cd "$work/tree" && timeout 120 "$root/target/mutants/release/weirusher" rehearse "days/$day.toml" 2>/dev/null)"; then
