--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -3,6 +3,7 @@
 use crate::page::Answer;
 use crate::{clock, told};
 use serde::Serialize;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -61,7 +62,7 @@
         let incarnation = clock::wall(config.clock_shift);
         let fleet = Fleet::new(config.settings, incarnation, fastrand::u64(..), clock::now())?;
         let (asks, asked) = mpsc::channel(ASKS);
-        let task = Task { fleet, socket, asked, changes: Vec::new(), told: 0 };
+        let task = Task { fleet, socket, asked, changes: Vec::new(), told: 0, misled: HashSet::new() };
         Ok((Self { address, asks }, task.run()))
     }
 
@@ -104,6 +105,8 @@
     /// Changes that no line told yet.
     changes: Vec<Change>,
     told: Millis,
+    /// Members that were told another size: one line each.
+    misled: HashSet<u16>,
 }
 
 impl Task {
@@ -176,7 +179,9 @@
                     );
                 }
                 Event::OtherSize(member, size) => {
-                    tracing::debug!(member, size, "a gatekeeper was told another size of the fleet");
+                    if self.misled.insert(member) {
+                        tracing::warn!(member, size, "a gatekeeper was told another size of the fleet");
+                    }
                 }
                 Event::Cut(hearing) => tracing::warn!(?hearing, "cut off from most of the fleet"),
                 Event::Whole(hearing) => tracing::info!(?hearing, "no longer cut off from the fleet"),
--- a/crates/rehearsal/tests/beliefs.rs
+++ b/crates/rehearsal/tests/beliefs.rs
@@ -115,6 +115,27 @@
     assert_eq!(judged(&lines), [Rule::Beliefs(Claim::LifeKnown)]);
 }
 
+#[test]
+fn a_verdict_on_its_way_may_come_once_and_a_second_one_is_found() {
+    // A moment's cut that begins a verdict: it comes after the way is back, and is taken back.
+    let moment = |again: bool| {
+        let mut lines = sound();
+        for (at, groups) in [(20.0, [0, 1, 1, 1]), (21.5, [0, 0, 0, 0])] {
+            let place = lines.iter().position(|line| t(line) > at).unwrap();
+            lines.insert(place, json!({"t": at, "what": "groups", "groups": groups}));
+        }
+        for line in &mut lines {
+            let gone = (22.5..23.5).contains(&t(line)) || again && (24.5..25.5).contains(&t(line));
+            if gone && line["what"] == "states" && line["gk"] == 1 {
+                known(line, 0, 0.0);
+            }
+        }
+        judged(&lines)
+    };
+    assert_eq!(moment(false), []);
+    assert_eq!(moment(true), [Rule::Beliefs(Claim::LifeKnown)]);
+}
+
 #[test]
 fn a_gatekeeper_that_nobody_reaches_may_count_on_nobody() {
     let cut = json!({"t": 20.0, "what": "groups", "groups": [0, 1, 1, 1]});
