Tests for the fleet's guards that lived as mutants: stale lives, late timers, overtaken datagrams, guests

Cause: of 24 mutants, four passed all tests: what is told to a life that is over, the wait before a verdict of one that was late, a datagram overtaken by far, beats for those that ask. Change: a test of one member for each, which fails with the guard taken out (checked one by one).

--- a/crates/fleet/tests/datagrams.rs
+++ b/crates/fleet/tests/datagrams.rs
@@ -124,6 +124,95 @@
     assert_eq!(after_gone_copies(50), State::Gone);
 }
 
+/// What a member answers to a datagram of this incarnation that knows this one of its own.
+fn answered(fleet: &mut Fleet, incarnation: u64, knows: u64, now: u64) -> Option<Header> {
+    let packet = Packet { header: Header { incarnation, knows, ..header(1, 0) }, parts: Vec::new() };
+    fleet.receive(([127, 0, 0, 1], 2001).into(), &sealed(&packet), now);
+    let (to, bytes) = fleet.transmit()?;
+    assert_eq!(to, ([127, 0, 0, 1], 2001).into());
+    let content = Seal::new(KEY).unwrap().open(&bytes).map(<[u8]>::to_vec).unwrap();
+    Some(postcard::from_bytes::<Packet>(&content).unwrap().header)
+}
+
+#[test]
+fn whoever_is_not_believed_is_told_what_it_lacks() {
+    let mut fleet = fleet();
+    // It does not know this incarnation: it is told it, and that its own is understood.
+    let told = answered(&mut fleet, 7, 0, 1).unwrap();
+    assert_eq!((told.incarnation, told.knows), (9, 7));
+    assert!(answered(&mut fleet, 7, 0, 100).is_none(), "five times a second at most");
+    assert!(answered(&mut fleet, 7, 9, 300).is_none(), "it is believed now");
+    // A life that is over, as of a process whose wall clock stands earlier: it is told of the later one.
+    let told = answered(&mut fleet, 5, 9, 600).unwrap();
+    assert_eq!((told.incarnation, told.knows), (9, 7));
+    let counters = fleet.counters();
+    assert_eq!((counters.unproven, counters.received, counters.stale), (2, 1, 1));
+}
+
+/// A datagram of member 1 that is believed.
+fn hear(fleet: &mut Fleet, sequence: u64, beat: u32, parts: Vec<Part>, now: u64) {
+    let packet = Packet { header: Header { sequence, beat, ..header(1, 0) }, parts };
+    fleet.receive(([127, 0, 0, 1], 2001).into(), &sealed(&packet), now);
+}
+
+#[test]
+fn a_datagram_that_was_overtaken_by_far_says_nothing_of_now() {
+    let mut fleet = fleet();
+    hear(&mut fleet, 3, 10, Vec::new(), 100);
+    for now in (100..900).step_by(30) {
+        fleet.advance(now);
+    }
+    hear(&mut fleet, 2, 5, Vec::new(), 900);
+    assert_eq!(fleet.counters().received, 2);
+    assert_eq!(fleet.view(900).members[0].direct_ms, Some(800));
+}
+
+#[test]
+fn one_that_was_late_reads_what_came_before_it_judges() {
+    let mut fleet = fleet();
+    let life = |beat| Part::Life { member: 2, incarnation: 4, beat, age: 0, news: true };
+    let silent = Part::Silent { member: 2, incarnation: 4, beat: 1, by: vec![1, 3], news: true };
+    for now in (0..600).step_by(30) {
+        fleet.advance(now);
+        hear(&mut fleet, now + 1, now as u32, vec![life(1)], now);
+    }
+    hear(&mut fleet, 601, 601, vec![silent], 600);
+    assert_eq!(fleet.table().state(2), State::Suspected);
+    // It accuses it as well after a second, and stands still past the time to contradict, while the contradiction waits
+    // in its socket.
+    for now in (600..1_290).step_by(30) {
+        fleet.advance(now);
+        hear(&mut fleet, now + 2, now as u32, Vec::new(), now);
+    }
+    fleet.advance(2_000);
+    assert_eq!(fleet.table().state(2), State::Suspected);
+    hear(&mut fleet, 2_000, 2_000, vec![life(9)], 2_000);
+    fleet.advance(2_010);
+    assert_eq!(fleet.table().state(2), State::Alive);
+}
+
+#[test]
+fn whoever_asks_for_beats_gets_them_for_a_while() {
+    const SIZE: u16 = 40;
+    let rings = Rings::new(SIZE);
+    let near = [rings.watchers(0, |_| false), rings.subjects(0, |_| false)].concat();
+    let asker = (1..SIZE).find(|member| !near.contains(member)).unwrap();
+    let address = |n: u16| std::net::SocketAddr::from(([127, 0, 0, 1], 2000 + n));
+    let settings = Settings { me: 0, members: (0..SIZE).map(address).collect(), key: KEY.to_vec() };
+    let mut fleet = Fleet::new(settings, 9, 1, 0).unwrap();
+    let asks = Packet { header: Header { size: SIZE, watch: true, ..header(asker, 0) }, parts: Vec::new() };
+    fleet.receive(address(asker), &sealed(&asks), 0);
+    let mut times = Vec::new();
+    for now in (0..4_000).step_by(10) {
+        fleet.advance(now);
+        let sent = std::iter::from_fn(|| fleet.transmit()).filter(|(to, _)| *to == address(asker));
+        times.extend(sent.map(|_| now));
+    }
+    // At once, then once a beat for four beats; a look for those that are unknown may fall on it as well.
+    assert!(times[0] == 0 && times.iter().filter(|at| **at < 1_000).count() >= 4, "{times:?}");
+    assert!(times.iter().filter(|at| **at > 1_200).count() <= 3, "{times:?}");
+}
+
 #[test]
 fn settings_that_cannot_work_are_refused() {
     let start = |me, ports: &[u16], key: &[u8]| {
