Two more guards of the fleet with a test each: deafness, copies of another life

Change: one member cut off inwards for less than it takes to forget takes nobody for dead; a copy with the same low bits and an impossible beat is ignored.

--- a/crates/fleet/tests/datagrams.rs
+++ b/crates/fleet/tests/datagrams.rs
@@ -191,6 +191,17 @@
     assert_eq!(fleet.table().state(2), State::Alive);
 }
 
+#[test]
+fn a_copy_of_another_life_with_the_same_low_bits_is_not_taken_for_this_one() {
+    let mut fleet = fleet();
+    let life = Part::Life { member: 2, incarnation: 7, beat: 5, age: 0, news: false };
+    let copy = |beat| Part::Copies { from: 2, beats: vec![Copy { incarnation: 7, beat, age: 0 }] };
+    hear(&mut fleet, 1, 1, vec![life, copy(1_000_000)], 100);
+    assert_eq!(fleet.table().newest(2).beat, 5);
+    hear(&mut fleet, 2, 2, vec![copy(6)], 340);
+    assert_eq!(fleet.table().newest(2).beat, 6);
+}
+
 #[test]
 fn whoever_asks_for_beats_gets_them_for_a_while() {
     const SIZE: u16 = 40;
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -204,6 +204,17 @@
     }
 }
 
+#[test]
+fn one_that_hears_nobody_takes_nobody_for_dead_until_it_forgets() {
+    let mut net = settled(24, 21);
+    (1..24).for_each(|from| net.block(from, 0));
+    net.run(forgotten_after(24) - 1_000);
+    assert_eq!(net.seen.iter().filter(|seen| seen.by == 0 && seen.belief == Belief::Gone).count(), 0);
+    assert!(hearing(&mut net, 0).share() == 0.0);
+    net.run(cut_known(24));
+    assert_eq!(hearing(&mut net, 0).alive, 0);
+}
+
 #[test]
 fn nobody_dies_again_while_a_cut_heals() {
     let mut net = settled(120, 19);
