--- a/crates/rehearsal/src/day.rs
+++ b/crates/rehearsal/src/day.rs
@@ -1,6 +1,7 @@
 //! A day as its file describes it.
 
 use serde::Deserialize;
+use weirusher_standins::Flood;
 
 /// Longest day, in seconds: a rehearsal ends by itself.
 const LONGEST: f64 = 3600.0;
@@ -263,8 +264,8 @@
     PeerBlock { from: Vec<usize>, to: Vec<usize> },
     /// Each hears the next one only.
     PeerRing,
-    /// A gatekeeper is flooded as if from another, by forged datagrams or by true ones over and over.
-    PeerFlood { from: usize, to: usize, per_second: f64, forged: bool },
+    /// A gatekeeper is flooded as if from another.
+    PeerFlood { from: usize, to: usize, per_second: f64, how: Flood },
     /// SIGTERM, and a start anew when it is over.
     StopGatekeepers { which: Vec<usize> },
     /// The counter misbehaves.
--- a/crates/rehearsal/src/faults.rs
+++ b/crates/rehearsal/src/faults.rs
@@ -135,8 +135,8 @@
                 begins,
             );
         }
-        Kind::PeerFlood { from, to, per_second, forged } if begins => {
-            peers.switch.flood(*from, *to, *per_second, fault.lasts, *forged);
+        Kind::PeerFlood { from, to, per_second, how } if begins => {
+            peers.switch.flood(*from, *to, *per_second, fault.lasts, *how);
         }
         _ => {}
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -22,4 +22,4 @@
 pub use link::{Link, LinkFault};
 pub use record::{Belief, ColdBook, Door, Fact, Fate, Final, Line, Recorder, RuleBook, ServerState, Verdict};
 pub use scripted::{Came, Reply, Script, Scripted, counting, frame};
-pub use switch::{PeerWay, Switch};
+pub use switch::{Flood, PeerWay, Switch};
--- a/crates/standins/src/switch.rs
+++ b/crates/standins/src/switch.rs
@@ -6,6 +6,7 @@
 
 use crate::record::{Fact, Fate, Recorder};
 use fastrand::Rng;
+use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
@@ -34,6 +35,20 @@
     pub replay_after: f64,
 }
 
+/// What a flood is made of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Flood {
+    /// Bytes that no gatekeeper sent.
+    Forged,
+    /// The last true datagram, over and over.
+    Replayed,
+    /// The last true datagram without its end.
+    Cut,
+    /// The last true datagram with more behind it than any may have.
+    Oversized,
+}
+
 struct State {
     way: PeerWay,
     /// The group of each gatekeeper: groups do not reach each other.
@@ -126,8 +141,8 @@
         });
     }
 
-    /// Floods a gatekeeper as if from another for a while: forged datagrams, or the last true one over and over.
-    pub fn flood(&mut self, from: usize, to: usize, per_second: f64, seconds: f64, forged: bool) {
+    /// Floods a gatekeeper as if from another for a while.
+    pub fn flood(&mut self, from: usize, to: usize, per_second: f64, seconds: f64, how: Flood) {
         let shared = self.shared.clone();
         self.tasks.spawn(async move {
             let gap = Duration::from_secs_f64(1.0 / per_second);
@@ -135,20 +150,25 @@
             let mut tick = tokio::time::interval(gap);
             while tokio::time::Instant::now() < end {
                 tick.tick().await;
-                let bytes = shared.flooding(from, to, forged);
-                shared.pass(from, to, &bytes, if forged { Fate::Forged } else { Fate::Replayed }).await;
+                let bytes = shared.flooding(from, to, how);
+                let fate = if how == Flood::Replayed { Fate::Replayed } else { Fate::Forged };
+                shared.pass(from, to, &bytes, fate).await;
             }
         });
     }
 }
 
 impl Shared {
-    fn flooding(&self, from: usize, to: usize, forged: bool) -> Vec<u8> {
+    fn flooding(&self, from: usize, to: usize, how: Flood) -> Vec<u8> {
         let mut state = self.state.lock().expect("no holder panics");
-        match state.last.get(&(from, to)).cloned().filter(|_| !forged) {
-            Some(last) => last,
-            None => (0..FORGED).map(|_| state.rng.u8(..)).collect(),
+        let mut bytes = state.last.get(&(from, to)).cloned().unwrap_or_default();
+        match how {
+            Flood::Forged => bytes = (0..FORGED).map(|_| state.rng.u8(..)).collect(),
+            Flood::Replayed => {}
+            Flood::Cut => bytes.truncate(bytes.len() / 2),
+            Flood::Oversized => bytes.resize(MOST_BYTES, 0),
         }
+        bytes
     }
 
     async fn pass(&self, from: usize, to: usize, bytes: &[u8], fate: Fate) {
