Test configurations shared, fewer lines; check says which fleet a gatekeeper is of

Cause: two tests wrote the same platform configuration and the same gatekeeper's file; an operator could not see from `weirusher check` whether a configuration takes part in a fleet.

--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -111,7 +111,14 @@
     match config(file) {
         Ok(config) => {
             let (plans, classes) = (config.settings.plans.len(), config.settings.classes.len());
-            println!("{}: sound; {plans} plans, {classes} classes", file.display());
+            let fleet = config.fleet.as_ref().map_or_else(
+                || "no [fleet]: it knows of no other gatekeeper".to_string(),
+                |fleet| {
+                    let (me, size) = (fleet.settings.me, fleet.settings.members.len());
+                    format!("gatekeeper {me} of a fleet of {size}, datagrams at {}", fleet.listen)
+                },
+            );
+            println!("{}: sound; {plans} plans, {classes} classes; {fleet}", file.display());
             ExitCode::SUCCESS
         }
         Err(code) => code,
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,41 @@
+//! Configurations that more than one test starts from.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// A platform configuration.
+pub fn configuration(
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    counter: SocketAddr,
+    sockets: usize,
+) -> String {
+    json!({
+        "name": "n0", "listen": listen, "discovery": discovery, "counter": counter, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "known": {"index": 1, "snapshot": true, "endpoints": []},
+        "settings": {
+            "PeersTotal": 1, "Me": 0, "Dcs": ["a"], "Step": 0.002,
+            "Domain": {"HasCounter": true, "CountLimit": 0.5, "MaxUnits": 1.0},
+            "Limits": {"SendCap": 4, "SecondCopies": true, "Cancelling": true, "RetryAfter": true,
+                "MaxRetryAfter": 1.0, "ConnIdle": 30.0, "ConnectTimeout": 0.25},
+            "Classes": [{"Name": "check", "Effect": "idempotent", "Slo": 2.0},
+                {"Name": "store", "Effect": "at_most_once", "Slo": 2.0}],
+            "Plans": [{"Name": "iso", "QuotaRate": 1000.0, "Depth": 1000.0, "Pays": 1.0},
+                {"Name": "tiny", "QuotaRate": 0.1, "Depth": 1.0, "Pays": 1.0}],
+        },
+    })
+    .to_string()
+}
+
+/// The gatekeeper of deploy/, at any free ports.
+pub fn gatekeeper_file(dir: &Path) -> PathBuf {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/gatekeeper.toml");
+    let text = std::fs::read_to_string(deploy).unwrap();
+    let text = text.replace(":9000", ":0").replace(":9001", ":0").replace("keep = \"checkers.json\"", "");
+    let file = dir.join("gatekeeper.toml");
+    std::fs::write(&file, text).unwrap();
+    file
+}
--- a/crates/cli/tests/days.rs
+++ b/crates/cli/tests/days.rs
@@ -1,5 +1,8 @@
 //! The shipped days, rehearsed with real processes; two at a time, so that they do not starve each other.
 
+mod common;
+
+use common::gatekeeper_file;
 use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
@@ -90,10 +93,7 @@
 #[test]
 fn a_gatekeeper_with_nothing_to_do_stops_at_once_on_sigterm() {
     let dir = tempfile::tempdir().unwrap();
-    let file = dir.path().join("gatekeeper.toml");
-    let text = std::fs::read_to_string(root().join("deploy/gatekeeper.toml")).unwrap();
-    let text = text.replace(":9000", ":0").replace(":9001", ":0").replace("keep = \"checkers.json\"", "");
-    std::fs::write(&file, text).unwrap();
+    let file = gatekeeper_file(dir.path());
     let mut child =
         Command::new(EXE).args(["run", "--config"]).arg(&file).stdout(Stdio::piped()).spawn().unwrap();
     let mut line = String::new();
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,6 +1,9 @@
 //! Gatekeepers that know of each other, by the command line: what it costs when it is off, what is shown when it is on,
 //! and what is said of a file that is not right.
 
+mod common;
+
+use common::{configuration, gatekeeper_file};
 use procfs::process::{FDTarget, Process};
 use std::collections::HashSet;
 use std::io::{BufRead, BufReader};
@@ -25,23 +28,11 @@
     }
 }
 
-/// A platform configuration without workers, whose list service does not answer.
+/// A platform configuration of gatekeeper 0 of 2, whose list service and counter do not answer.
 fn node_config(dir: &Path) -> PathBuf {
-    let file = dir.join("node.json");
-    let text = serde_json::json!({
-        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "counter": null, "seed": 1,
-        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 64},
-        "known": {"index": 1, "snapshot": true, "endpoints": []},
-        "settings": {
-            "PeersTotal": 2, "Me": 0, "Dcs": ["a"], "Step": 0.002,
-            "Domain": {"HasCounter": false, "CountLimit": 0.5, "MaxUnits": 1.0},
-            "Limits": {"SendCap": 4, "SecondCopies": false, "Cancelling": false, "RetryAfter": true,
-                "MaxRetryAfter": 1.0, "ConnIdle": 30.0, "ConnectTimeout": 0.25},
-            "Classes": [{"Name": "check", "Effect": "idempotent", "Slo": 2.0}],
-            "Plans": [{"Name": "none", "QuotaRate": 1.0, "Depth": 1.0, "Pays": 1.0}],
-        },
-    });
-    std::fs::write(&file, text.to_string()).unwrap();
+    let (file, nobody) = (dir.join("node.json"), ([127, 0, 0, 1], 9).into());
+    let text = configuration(([127, 0, 0, 1], 0).into(), nobody, nobody, 64);
+    std::fs::write(&file, text.replace("\"PeersTotal\":1", "\"PeersTotal\":2")).unwrap();
     file
 }
 
@@ -140,11 +131,7 @@
     let output = weirusher(&["fleet", "--admin", "127.0.0.1:9"]);
     assert_eq!(output.status.code(), Some(1));
     let dir = tempfile::tempdir().unwrap();
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let file = dir.path().join("gatekeeper.toml");
-    let text = std::fs::read_to_string(root.join("deploy/gatekeeper.toml")).unwrap();
-    let text = text.replace(":9000", ":0").replace(":9001", ":0").replace("keep = \"checkers.json\"", "");
-    std::fs::write(&file, text).unwrap();
+    let file = gatekeeper_file(dir.path());
     let mut child =
         Command::new(EXE).args(["run", "--config"]).arg(&file).stdout(Stdio::piped()).spawn().unwrap();
     let mut line = String::new();
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,6 +1,9 @@
 //! The gatekeeper on the platform as a real process between scripted parties; judged from what passed on the
 //! sockets.
 
+mod common;
+
+use common::configuration;
 use object::Endianness;
 use object::elf::DT_NEEDED;
 use object::read::elf::{Dyn, ElfFile64, ProgramHeader};
@@ -85,25 +88,6 @@
     }
 }
 
-fn configuration(listen: SocketAddr, discovery: SocketAddr, counter: SocketAddr, sockets: usize) -> String {
-    json!({
-        "name": "n0", "listen": listen, "discovery": discovery, "counter": counter, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
-        "known": {"index": 1, "snapshot": true, "endpoints": []},
-        "settings": {
-            "PeersTotal": 1, "Me": 0, "Dcs": ["a"], "Step": 0.002,
-            "Domain": {"HasCounter": true, "CountLimit": 0.5, "MaxUnits": 1.0},
-            "Limits": {"SendCap": 4, "SecondCopies": true, "Cancelling": true, "RetryAfter": true,
-                "MaxRetryAfter": 1.0, "ConnIdle": 30.0, "ConnectTimeout": 0.25},
-            "Classes": [{"Name": "check", "Effect": "idempotent", "Slo": 2.0},
-                {"Name": "store", "Effect": "at_most_once", "Slo": 2.0}],
-            "Plans": [{"Name": "iso", "QuotaRate": 1000.0, "Depth": 1000.0, "Pays": 1.0},
-                {"Name": "tiny", "QuotaRate": 0.1, "Depth": 1.0, "Pays": 1.0}],
-        },
-    })
-    .to_string()
-}
-
 impl Site {
     async fn start(workers: usize) -> Self {
         Self::with(workers, 256, |_| list(3, false, &[])).await
--- a/crates/fleet/tests/hard_cases.rs
+++ b/crates/fleet/tests/hard_cases.rs
@@ -31,9 +31,12 @@
 }
 
 fn all_alive(net: &mut Net) -> bool {
-    let size = net.size();
-    let pairs = (0..size).flat_map(|by| (0..size).map(move |of| (by, of))).filter(|(by, of)| by != of);
-    pairs.into_iter().all(|(by, of)| state(net, by, of) == State::Alive)
+    (0..net.size()).all(|of| all_say(net, of, State::Alive))
+}
+
+/// Whether all others say this of one.
+fn all_say(net: &mut Net, of: u16, said: State) -> bool {
+    (0..net.size()).filter(|by| *by != of).all(|by| state(net, by, of) == said)
 }
 
 fn gone(net: &Net) -> usize {
@@ -62,8 +65,7 @@
         net.kill(1);
         // Of two, the one that is left hears nobody: it cannot tell whose fault that is, and waits.
         net.run(if size == 2 { forgotten_after(size) + BEAT } else { DEATH_KNOWN });
-        let known = (0..size).filter(|member| *member != 1).all(|by| state(&mut net, by, 1) == State::Gone);
-        assert!(known, "{size}");
+        assert!(all_say(&mut net, 1, State::Gone), "{size}");
         net.start(1);
         net.run(life_known(net.size()));
         assert!(all_alive(&mut net), "{size}");
@@ -248,7 +250,7 @@
     // And what is lost for good is still found.
     net.kill(3);
     net.run(DEATH_KNOWN + 4_000);
-    assert!((0..24).filter(|by| *by != 3).all(|by| state(&mut net, by, 3) == State::Gone));
+    assert!(all_say(&mut net, 3, State::Gone));
 }
 
 #[test]
@@ -258,7 +260,7 @@
         let before = net.member(2).unwrap().0.fleet.incarnation();
         net.stop(2);
         net.run(sleep);
-        assert!((0..16).filter(|by| *by != 2).all(|by| state(&mut net, by, 2) == State::Gone));
+        assert!(all_say(&mut net, 2, State::Gone));
         // Whatever it does first: it hears nobody, whatever it believed and whatever waited in its socket.
         net.resume(2);
         let hearing = hearing(&mut net, 2);
@@ -387,10 +389,7 @@
     }
     let flooded = counters(&mut net).flooded;
     assert!(flooded > 9_000, "{flooded}");
-    assert!(
-        all_alive(&mut net)
-            || (0..12).filter(|of| *of != 7).all(|of| of == 2 || state(&mut net, 2, of) == State::Alive)
-    );
+    assert!((0..12).filter(|of| ![2, 7].contains(of)).all(|of| state(&mut net, 2, of) == State::Alive));
     assert_eq!(net.seen.iter().filter(|seen| seen.belief == Belief::Gone && seen.of != 7).count(), 0);
 }
 
