--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -5,11 +5,15 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
-use weirusher_fleet::{Counters, State, View};
+use weirusher_fleet::{Counters, MemberView, State, View};
 use weirusher_peers::page;
 
 /// How long a page may take.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// Milliseconds after which a member that was heard directly is shown as not heard any more, and until when: members
+/// that have other watchers since are not heard either, and that is as it should be.
+const LOST: u64 = 2_000;
+const LONG: u64 = 60_000;
 /// Members in one line of the table.
 const LINE: usize = 12;
 
@@ -49,6 +53,11 @@
         "  heard by   {} of {} that it sends to; {} say that they do not",
         hearing.confirmed, hearing.watchers, hearing.denied
     );
+    for (what, members) in [("deaf to it", denying(view)), ("not heard", unheard(view))] {
+        if !members.is_empty() {
+            let _ = writeln!(text, "  {what:<10} {}", members.join(", "));
+        }
+    }
     for state in [State::Alive, State::Suspected, State::Gone, State::Unknown] {
         let members: Vec<_> = view.members.iter().filter(|member| member.state == state).collect();
         let _ = writeln!(text, "  {:<10} {}", format!("{state:?}").to_lowercase(), members.len());
@@ -56,9 +65,7 @@
             continue;
         }
         for line in members.chunks(LINE) {
-            let name = |m: &&weirusher_fleet::MemberView| {
-                format!("{} for {:.1} s", m.number, m.for_ms as f64 / 1000.0)
-            };
+            let name = |m: &&MemberView| format!("{} for {:.1} s", m.number, m.for_ms as f64 / 1000.0);
             let _ = writeln!(text, "    {}", line.iter().map(name).collect::<Vec<_>>().join(", "));
         }
     }
@@ -80,6 +87,20 @@
     text
 }
 
+/// Members that say that they do not hear this one.
+fn denying(view: &View) -> Vec<String> {
+    view.members.iter().filter(|member| member.denies).map(|member| member.number.to_string()).collect()
+}
+
+/// Members that live, and were heard directly once, but not any more: the way from them is broken, or they have another
+/// watcher now.
+fn unheard(view: &View) -> Vec<String> {
+    let lost = |member: &&MemberView| {
+        member.state == State::Alive && member.direct_ms.is_some_and(|ms| (LOST..LONG).contains(&ms))
+    };
+    view.members.iter().filter(lost).map(|member| member.number.to_string()).collect()
+}
+
 /// What was refused and why, but for what never was.
 fn refused(counters: &Counters) -> String {
     let all = [
