--- a/crates/rehearsal/src/beliefs.rs
+++ b/crates/rehearsal/src/beliefs.rs
@@ -21,7 +21,7 @@
     GoneKnown,
     /// Who can be reached is stated alive, and not gone, after the bound.
     LifeKnown,
-    /// Who is reached by nobody counts on nobody.
+    /// Who is reached by nobody, or reaches nobody, counts on nobody.
     HearingTrue,
     /// Who was away takes part anew, under another incarnation, before it states anything.
     BegunAnew,
@@ -132,6 +132,8 @@
     pairs: Vec<Vec<Pair>>,
     /// Since when each is reached by somebody directly, or by nobody.
     deaf: Vec<Option<f64>>,
+    /// Since when nobody is reached by it directly.
+    mute: Vec<Option<f64>>,
     sent: (u64, f64, f64),
     pub figures: Figures,
 }
@@ -143,7 +145,7 @@
         self.processes = vec![Process { running: true, since: t, ..Process::default() }; size];
         self.groups = vec![0; size];
         self.pairs = vec![vec![Pair { since: t, ..Pair::default() }; size]; size];
-        self.deaf = vec![None; size];
+        (self.deaf, self.mute) = (vec![None; size], vec![None; size]);
         self.sent = (0, t, t);
         self.reckon(t);
     }
@@ -232,12 +234,10 @@
     fn reckon(&mut self, t: f64) {
         for to in 0..self.size {
             let reached = self.reaching(to);
-            let alone = !(0..self.size).any(|from| self.direct(from, to));
-            match (alone, self.deaf[to]) {
-                (true, None) => self.deaf[to] = Some(t),
-                (false, Some(_)) => self.deaf[to] = None,
-                _ => {}
-            }
+            let deaf = !(0..self.size).any(|from| self.direct(from, to));
+            let mute = !(0..self.size).any(|other| self.direct(to, other));
+            self.deaf[to] = deaf.then(|| self.deaf[to].unwrap_or(t));
+            self.mute[to] = mute.then(|| self.mute[to].unwrap_or(t));
             for (from, reached) in reached.into_iter().enumerate() {
                 let pair = &mut self.pairs[to][from];
                 if pair.reached != reached {
@@ -307,18 +307,21 @@
     }
 
     fn judge_hearing(&self, gk: usize, asked: f64, belief: &Belief) -> Option<Wrong> {
-        let bound = (SILENCE + 2 * BEAT) as f64 / 1000.0 + BUSY;
-        let since = self.deaf[gk].filter(|since| asked > since.max(self.processes[gk].since) + bound)?;
-        (belief.heard > 0 || belief.share > 0.0).then(|| Wrong {
-            claim: Claim::HearingTrue,
-            since,
-            text: format!(
-                "gatekeeper {gk} is reached by nobody for {:.2} s, and counts on {:.2}, hearing {}",
-                asked - since,
-                belief.share,
-                belief.heard
-            ),
-        })
+        let up = self.processes[gk].since;
+        let silence = (SILENCE + BEAT) as f64 / 1000.0;
+        let long =
+            |since: Option<f64>, bound: f64| since.filter(|since| asked > since.max(up) + bound + BUSY);
+        let deaf = long(self.deaf[gk], silence).filter(|_| belief.heard > 0 || belief.share > 0.0);
+        let mute = long(self.mute[gk], 2.0 * silence).filter(|_| belief.share > 0.0);
+        let (since, what) = deaf
+            .map(|since| (since, "is reached by nobody"))
+            .or(mute.map(|since| (since, "reaches nobody")))?;
+        let (heard, share) = (belief.heard, belief.share);
+        let text = format!(
+            "gatekeeper {gk} {what} for {:.2} s, and counts on {share:.2}, hearing {heard}",
+            asked - since
+        );
+        Some(Wrong { claim: Claim::HearingTrue, since, text })
     }
 
     fn judge_members(&mut self, gk: usize, asked: f64, belief: &Belief) -> Vec<Wrong> {
--- a/crates/rehearsal/tests/beliefs.rs
+++ b/crates/rehearsal/tests/beliefs.rs
@@ -150,6 +150,15 @@
     assert!(proud.contains(&Rule::Beliefs(Claim::HearingTrue)), "{proud:?}");
 }
 
+#[test]
+fn a_gatekeeper_that_reaches_nobody_may_count_on_nobody() {
+    let mut lines = sound();
+    for to in 1..SIZE {
+        lines.insert(2, json!({"t": 0.5, "what": "blocked", "from": 0, "to": to, "blocked": true}));
+    }
+    assert!(judged(&lines).contains(&Rule::Beliefs(Claim::HearingTrue)));
+}
+
 #[test]
 fn a_way_that_is_broken_one_way_leaves_those_in_reach_that_others_pass_on() {
     let blocked = json!({"t": 20.0, "what": "blocked", "from": 0, "to": 1, "blocked": true});
