One queue by time, one "lately", one bound on members; who lives is counted once a beat

Cause: read over. Change: membership::Queue, links::within, MOST_MEMBERS, and the count taken from the hearing. Behaviour is as it was.

--- a/crates/config/src/fleet.rs
+++ b/crates/config/src/fleet.rs
@@ -4,10 +4,8 @@
 use crate::schema::{address, loopback};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use weirusher_fleet::{LEAST_KEY, Settings};
+use weirusher_fleet::{LEAST_KEY, MOST_MEMBERS, Settings};
 
-/// Members of a fleet at most.
-const MOST: usize = 10_000;
 /// A year, in seconds: no clock is taken for further off.
 const MOST_SHIFT: f64 = 366.0 * 86_400.0;
 
@@ -76,7 +74,7 @@
         table.missing("members", "the address of each gatekeeper, in the order of their numbers");
         return Vec::new();
     };
-    let mut members: Vec<SocketAddr> = Vec::with_capacity(texts.len().min(MOST));
+    let mut members: Vec<SocketAddr> = Vec::with_capacity(texts.len().min(MOST_MEMBERS));
     let mut seen = HashMap::new();
     for (number, (text, at)) in texts.iter().enumerate() {
         let Some(address) = loopback(table, "members", text, *at) else { continue };
@@ -97,15 +95,15 @@
         let hint = "one for each gatekeeper of the fleet, those that do not run yet included".to_string();
         table.problems.add(table.at(), message, hint);
     }
-    if !(2..=MOST).contains(&count) {
+    if !(2..=MOST_MEMBERS).contains(&count) {
         let message = format!("a fleet of {count} members");
-        table.problems.add(table.at(), message, format!("2 to {MOST}; without [fleet] it is off"));
+        table.problems.add(table.at(), message, format!("2 to {MOST_MEMBERS}; without [fleet] it is off"));
     }
     members
 }
 
 fn number(table: &mut Table<'_, '_>, members: usize) -> u32 {
-    let Some((number, at)) = table.number_at("number", 0.0, (MOST - 1) as f64) else {
+    let Some((number, at)) = table.number_at("number", 0.0, (MOST_MEMBERS - 1) as f64) else {
         table.missing("number", "which of `members` this gatekeeper is, from 0");
         return 0;
     };
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::budget::Bucket;
 use crate::carrier::Shared;
 use crate::hearing::{Brief, Counters, Hearing, MemberView, View};
-use crate::links::Links;
+use crate::links::{Links, within};
 use crate::message::{Copy, GONE, Header, MOST_BYTES, MOST_INCARNATION, Packet, Part};
 use crate::registers::{Fact, Registers};
 use crate::rumors::Rumors;
@@ -61,6 +61,9 @@
 /// Events that wait to be read; beyond that the oldest are dropped.
 const EVENTS: usize = 4096;
 
+/// Members of a fleet at most.
+pub const MOST_MEMBERS: usize = 10_000;
+
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -165,7 +168,7 @@
     pub fn new(settings: Settings, incarnation: u64, seed: u64, now: Millis) -> Result<Self, FleetError> {
         let Settings { me, members, key } = settings;
         let count = members.len();
-        let size = u16::try_from(count).ok().filter(|size| (2..=10_000).contains(size));
+        let size = u16::try_from(count).ok().filter(|size| (2..=MOST_MEMBERS).contains(&usize::from(*size)));
         let size = size.ok_or(FleetError::Size(count))?;
         if me >= size {
             return Err(FleetError::Number(me, count));
@@ -393,7 +396,6 @@
             }
             self.look_after_subjects(now);
             self.table.judge(self.links.deaf(now), now);
-            self.living = 1 + self.table.others().filter(|member| self.lives_here(*member)).count();
             self.notice(now);
             if self.beat.is_multiple_of(ROUND) {
                 self.look_around(now);
@@ -416,9 +418,10 @@
         }
     }
 
-    /// Tells when this one is cut off, and when it is not any more.
+    /// Counts who lives, and tells when this one is cut off, and when it is not any more.
     fn notice(&mut self, now: Millis) {
         let hearing = self.hearing(now);
+        self.living = 1 + usize::from(hearing.alive);
         let (below, from) = CUT;
         if !self.cut && now >= self.notice && hearing.share() < below {
             self.cut = true;
@@ -435,8 +438,8 @@
     /// Tells a subject that it is heard, or asks for its beats.
     fn attend(&mut self, subject: u16, now: Millis) {
         let link = self.links.get(subject);
-        let missed = link.heard.is_none_or(|heard| now.saturating_sub(heard) >= 2 * BEAT);
-        let quiet = link.sent.is_none_or(|sent| now.saturating_sub(sent) >= 2 * BEAT);
+        let missed = !within(link.heard, 2 * BEAT, now);
+        let quiet = !within(link.sent, 2 * BEAT, now);
         if missed || quiet {
             self.send(subject, missed, Vec::new(), now);
         }
@@ -451,7 +454,7 @@
             }
             let since = record.lived.max(self.floor).max(link.watched.unwrap_or(now));
             let (silent, (ask, accuse)) = (now.saturating_sub(since), link.patience());
-            let again = link.accused.is_none_or(|at| now.saturating_sub(at) >= ACCUSE_AGAIN);
+            let again = !within(link.accused, ACCUSE_AGAIN, now);
             if silent >= accuse && again {
                 self.accuse(member, now);
             } else if silent >= ask && !link.asked {
@@ -702,7 +705,7 @@
     /// Answers one that does not know this incarnation, or its own number's newest.
     fn greet(&mut self, to: u16, knows: u64, now: Millis) {
         let link = self.links.of(to);
-        let lately = link.greeted.is_some_and(|at| now.saturating_sub(at) < ANSWER);
+        let lately = within(link.greeted, ANSWER, now);
         if lately || self.superseded || self.bytes.level(now) < -OVERDRAFT {
             return;
         }
@@ -736,7 +739,7 @@
         self.lives(header.from, evidence, 0, true, now);
         if header.watch {
             self.links.invite(header.from, now);
-            let lately = self.links.get(header.from).sent.is_some_and(|at| now.saturating_sub(at) < ANSWER);
+            let lately = within(self.links.get(header.from).sent, ANSWER, now);
             if !lately {
                 self.send(header.from, false, Vec::new(), now);
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use budget::Bucket;
 pub use carrier::{Malformed, Shared};
-pub use fleet::{Event, Fleet, FleetError, Settings};
+pub use fleet::{Event, Fleet, FleetError, MOST_MEMBERS, Settings};
 pub use hearing::{Brief, Counters, Hearing, MemberView, View};
 pub use message::{Copy, GONE, Header, MOST_BYTES, Packet, Part};
 pub use registers::{Fact, Registers};
--- a/crates/fleet/src/links.rs
+++ b/crates/fleet/src/links.rs
@@ -76,7 +76,8 @@
     }
 }
 
-fn within(at: Option<Millis>, time: Millis, now: Millis) -> bool {
+/// Whether something was at most so long ago.
+pub(crate) fn within(at: Option<Millis>, time: Millis, now: Millis) -> bool {
     at.is_some_and(|at| now.saturating_sub(at) < time)
 }
 
--- a/crates/proving/examples/membership.rs
+++ b/crates/proving/examples/membership.rs
@@ -6,12 +6,11 @@
 use foca::{Config, Foca, NoCustomBroadcast, Notification, PostcardCodec, Runtime, Timer};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::VecDeque;
 use std::num::{NonZeroU32, NonZeroUsize};
 use std::time::Duration;
 use weirusher_fleet::Millis;
-use weirusher_proving::membership::{Belief, Member, Network, Process, Way, measure};
+use weirusher_proving::membership::{Belief, Member, Network, Process, Queue, Way, measure};
 
 /// A member as `foca` knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,25 +61,6 @@
     }
 }
 
-struct Due(Millis, u64, Timer<Id>);
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 /// Between two greetings of a member that knows nobody.
 const GREET: Millis = 1_000;
 /// Bytes that a code and the addresses take in this project's datagrams, so that bytes can be compared.
@@ -89,8 +69,7 @@
 struct Swim {
     foca: Foca<Id, PostcardCodec, SmallRng, NoCustomBroadcast>,
     asked: Asked,
-    timers: BinaryHeap<Reverse<Due>>,
-    order: u64,
+    timers: Queue<Timer<Id>>,
     greet: Millis,
     size: u16,
     rng: fastrand::Rng,
@@ -102,13 +81,12 @@
         let rng = SmallRng::seed_from_u64(seed);
         let foca = Foca::new(Id { number, life }, config, rng, PostcardCodec);
         let rng = fastrand::Rng::with_seed(seed);
-        Self { foca, asked: Asked::default(), timers: BinaryHeap::new(), order: 0, greet: now, size, rng }
+        Self { foca, asked: Asked::default(), timers: Queue::default(), greet: now, size, rng }
     }
 
     fn settle(&mut self, now: Millis) {
         for (after, timer) in self.asked.timers.drain(..) {
-            self.order += 1;
-            self.timers.push(Reverse(Due(now + after.as_millis() as Millis, self.order, timer)));
+            self.timers.push(now + after.as_millis() as Millis, timer);
         }
     }
 }
@@ -120,8 +98,7 @@
     }
 
     fn advance(&mut self, now: Millis) {
-        while self.timers.peek().is_some_and(|Reverse(Due(at, ..))| *at <= now) {
-            let Some(Reverse(Due(.., timer))) = self.timers.pop() else { break };
+        while let Some((_, timer)) = self.timers.pop(now) {
             let _ = self.foca.handle_timer(timer, &mut self.asked);
             self.settle(now);
         }
@@ -138,7 +115,7 @@
     }
 
     fn next_deadline(&self) -> Millis {
-        self.timers.peek().map_or(self.greet, |Reverse(Due(at, ..))| (*at).min(self.greet))
+        self.timers.next().map_or(self.greet, |at| at.min(self.greet))
     }
 
     fn transmit(&mut self) -> Option<(u16, Vec<u8>)> {
--- a/crates/proving/src/membership/mod.rs
+++ b/crates/proving/src/membership/mod.rs
@@ -3,7 +3,9 @@
 mod figures;
 mod member;
 mod network;
+mod queue;
 
 pub use figures::{Figures, Spread, measure};
 pub use member::{Belief, Member, Process, Seen};
 pub use network::{Network, Way};
+pub use queue::Queue;
--- a/crates/proving/src/membership/network.rs
+++ b/crates/proving/src/membership/network.rs
@@ -1,9 +1,9 @@
 //! The event loop: processes, their clocks, and a network that loses, doubles, delays and cuts, from one seed.
 
 use super::member::{Process, Seen};
+use super::queue::Queue;
 use fastrand::Rng;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet};
+use std::collections::HashSet;
 use weirusher_fleet::Millis;
 
 /// Milliseconds since the epoch at which every network begins.
@@ -36,32 +36,6 @@
     Turn { member: u16, life: u32 },
 }
 
-struct Due {
-    at: Millis,
-    order: u64,
-    step: Step,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Due {}
-
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 struct Slot<P> {
     process: Option<P>,
     life: u32,
@@ -106,8 +80,7 @@
     groups: Vec<u8>,
     /// Directions that are cut: from, to.
     blocked: HashSet<(u16, u16)>,
-    steps: BinaryHeap<Reverse<Due>>,
-    order: u64,
+    steps: Queue<Step>,
     now: Millis,
     rng: Rng,
 }
@@ -135,8 +108,7 @@
             slots,
             groups: vec![0; usize::from(size)],
             blocked: HashSet::new(),
-            steps: BinaryHeap::new(),
-            order: 0,
+            steps: Queue::default(),
             now: 0,
             rng,
         }
@@ -225,14 +197,13 @@
 
     /// Sends any bytes to a member as if from another, past the network's faults.
     pub fn inject(&mut self, from: u16, to: u16, bytes: Vec<u8>) {
-        self.later(self.now, Step::Deliver { from, to, bytes });
+        self.steps.push(self.now, Step::Deliver { from, to, bytes });
     }
 
     /// Lets time pass.
     pub fn run(&mut self, time: Millis) {
         let end = self.now + time;
-        while self.steps.peek().is_some_and(|Reverse(due)| due.at <= end) {
-            let Some(Reverse(Due { at, step, .. })) = self.steps.pop() else { break };
+        while let Some((at, step)) = self.steps.pop(end) {
             self.now = at;
             match step {
                 Step::Deliver { from, to, bytes } => self.deliver(from, to, &bytes),
@@ -248,16 +219,11 @@
         self.now = end;
     }
 
-    fn later(&mut self, at: Millis, step: Step) {
-        self.order += 1;
-        self.steps.push(Reverse(Due { at, order: self.order, step }));
-    }
-
     fn plan(&mut self, member: u16) {
         let slot = &self.slots[usize::from(member)];
         let Some(process) = &slot.process else { return };
         let (at, life) = (slot.when(process.next_deadline()).max(self.now), slot.life);
-        self.later(at, Step::Turn { member, life });
+        self.steps.push(at, Step::Turn { member, life });
     }
 
     fn turn(&mut self, member: u16) {
@@ -309,9 +275,9 @@
         let (least, most) = self.way.delay;
         if self.rng.f64() < self.way.double {
             let at = self.now + self.rng.u64(least..=most);
-            self.later(at, Step::Deliver { from, to, bytes: bytes.clone() });
+            self.steps.push(at, Step::Deliver { from, to, bytes: bytes.clone() });
         }
         let at = self.now + self.rng.u64(least..=most);
-        self.later(at, Step::Deliver { from, to, bytes });
+        self.steps.push(at, Step::Deliver { from, to, bytes });
     }
 }
