A drain is heard of within half its time whatever became of the calls to discovery

core::ListWatch now decides when discovery is asked and on which connections: while no answer comes another is opened again and again and the first answer counts, so that a list is in hand within half of Rules.StopSendingWithin of the moment that discovery answers again, in 20,000 random timelines of silence, resets, late and half answers. Its times follow from that setting, read for the first time. Where discovery itself is asked the calls wait longer, as they cost it work.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod seat;
 mod seats;
 mod ticket;
+mod watch;
 mod wheel;
 
 pub use calls::{Backoff, CallEnd, CallOrder, GIVE_UP_CONNECTION, Lines, Pipeline, Route, Unasked};
@@ -30,4 +31,5 @@
 pub use seat::Ask;
 pub use seats::{SeatId, Seats};
 pub use ticket::{Gate, Key, Keyring, Ticket, TicketError, TurnedAway};
+pub use watch::{LineId, ListWatch, WatchStep, WatchTerms};
 pub use wheel::{TimerKey, Wheel};
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,59 +1,130 @@
-//! Discovery: a watch that never lapses while its agent answers.
+//! Discovery: calls to its agent, on as many connections as [`ListWatch`] wants.
 
 use crate::hub::Hub;
 use bytes::BytesMut;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use weirusher_core::Backoff;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::{AbortHandle, JoinSet};
+use weirusher_core::{LineId, ListWatch, WatchStep, WatchTerms};
 use weirusher_platform::list::{Held, MOST_LIST};
 use weirusher_platform::response::ResponseReader;
 
-/// Seconds a watch waits for news: short, so that a silent agent shows soon.
-const WAIT: f64 = 5.0;
-/// Seconds past that for an answer, or for a connection.
-const GRACE: f64 = 1.0;
+/// A call's answer and the connection it came on.
+type Answer = (TcpStream, BytesMut);
+
+/// Who follows the list.
+struct Follower {
+    hub: Rc<Hub>,
+    address: SocketAddr,
+    watch: ListWatch,
+    held: Held,
+    calls: JoinSet<(LineId, io::Result<Answer>)>,
+    tasks: HashMap<LineId, AbortHandle>,
+    begun: UnboundedSender<LineId>,
+    /// What went wrong last, so that it is logged once and not for every call.
+    trouble: String,
+}
 
 /// Follows the list at `address` until it is aborted.
-pub async fn run(hub: Rc<Hub>, address: SocketAddr, zones: Vec<String>, seed: u64) {
-    let (mut held, mut backoff) = (Held::new(zones), Backoff::new(seed));
-    loop {
-        let error = follow(&hub, address, &mut held, &mut backoff).await;
-        tracing::info!(error = error.to_string(), "discovery is asked anew; the last list stays in use");
-        held.forget();
-        tokio::time::sleep(Duration::from_secs_f64(backoff.pause())).await;
-    }
+pub async fn run(hub: Rc<Hub>, address: SocketAddr, zones: Vec<String>, terms: WatchTerms, seed: u64) {
+    let (begun, told) = unbounded_channel();
+    let watch = ListWatch::new(hub.now(), terms, seed);
+    let (calls, tasks) = (JoinSet::new(), HashMap::new());
+    let held = Held::new(zones);
+    Follower { hub, address, watch, held, calls, tasks, begun, trouble: String::new() }.follow(told).await;
 }
 
-async fn follow(hub: &Rc<Hub>, address: SocketAddr, held: &mut Held, backoff: &mut Backoff) -> io::Error {
-    let grace = Duration::from_secs_f64(GRACE);
-    let mut stream = match tokio::time::timeout(grace, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(error)) => return error,
-        Err(late) => return late.into(),
-    };
-    loop {
-        let limit = Duration::from_secs_f64(WAIT + GRACE);
-        let body = match tokio::time::timeout(limit, ask(&mut stream, &held.target(WAIT))).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => return error,
-            Err(late) => return late.into(),
+impl Follower {
+    async fn follow(mut self, mut begun: UnboundedReceiver<LineId>) {
+        loop {
+            let now = self.hub.now();
+            let steps = self.watch.due(now);
+            self.carry_out(steps);
+            let next = self.hub.clock.instant(self.watch.next());
+            tokio::select! {
+                // First what has come: a process that was kept from running must not ask anew for it.
+                biased;
+                Some(ended) = self.calls.join_next() => {
+                    // One that was dropped tells nothing.
+                    if let Ok((line, answer)) = ended {
+                        self.ended(line, answer);
+                    }
+                }
+                Some(line) = begun.recv() => self.watch.begun(self.hub.now(), line),
+                () = tokio::time::sleep_until(next) => {}
+            }
+        }
+    }
+
+    fn carry_out(&mut self, steps: Vec<WatchStep>) {
+        for step in steps {
+            match step {
+                WatchStep::Open(line) => self.call(line, None, Held::WHOLE.to_string()),
+                WatchStep::Close(line) => {
+                    if let Some(task) = self.tasks.remove(&line) {
+                        task.abort();
+                    }
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, line: LineId, stream: Option<TcpStream>, target: String) {
+        let (address, begun) = (self.address, self.begun.clone());
+        let task =
+            self.calls.spawn_local(async move { (line, ask(line, stream, address, target, begun).await) });
+        self.tasks.insert(line, task);
+    }
+
+    fn ended(&mut self, line: LineId, answer: io::Result<Answer>) {
+        let now = self.hub.now();
+        self.tasks.remove(&line);
+        let (stream, body) = match answer {
+            Ok(answer) => answer,
+            Err(error) => return self.failed(line, error.to_string()),
         };
-        backoff.reset();
-        match held.take(&body) {
-            Ok(Some(told)) => hub.list(told),
-            // It is older than what is held: asked anew, but not in a tight loop.
-            Ok(None) => tokio::time::sleep(Duration::from_secs_f64(backoff.pause())).await,
-            Err(error) => return io::Error::new(io::ErrorKind::InvalidData, error),
+        match self.held.take(&body) {
+            Ok(Some(told)) => {
+                // One that was given up is older than what is held.
+                let Some(steps) = self.watch.answered(now, line) else { return };
+                self.carry_out(steps);
+                if !std::mem::take(&mut self.trouble).is_empty() {
+                    tracing::info!("discovery answers again");
+                }
+                self.hub.list(told);
+                self.call(line, Some(stream), self.held.target(self.watch.wait()));
+            }
+            Ok(None) => self.failed(line, "changes to an older list than the one that is held".into()),
+            Err(error) => self.failed(line, error.to_string()),
+        }
+    }
+
+    fn failed(&mut self, line: LineId, error: String) {
+        self.watch.ended(self.hub.now(), line);
+        if error != self.trouble {
+            tracing::info!(error, "discovery is asked anew; the last list stays in use");
+            self.trouble = error;
         }
     }
 }
 
-async fn ask(stream: &mut TcpStream, target: &str) -> io::Result<BytesMut> {
+async fn ask(
+    line: LineId,
+    stream: Option<TcpStream>,
+    address: SocketAddr,
+    target: String,
+    begun: UnboundedSender<LineId>,
+) -> io::Result<Answer> {
     let invalid = |text: String| io::Error::new(io::ErrorKind::InvalidData, text);
+    let mut stream = match stream {
+        Some(stream) => stream,
+        None => TcpStream::connect(address).await?,
+    };
     stream.write_all(format!("GET {target} HTTP/1.1\r\nHost: discovery.local\r\n\r\n").as_bytes()).await?;
     let (mut reader, mut buffer) = (ResponseReader::new(MOST_LIST), BytesMut::with_capacity(4096));
     loop {
@@ -62,9 +133,10 @@
         }
         if let Some(response) = reader.read(&mut buffer).map_err(|e| invalid(e.to_string()))? {
             return match response.status {
-                200 => Ok(response.body.into()),
+                200 => Ok((stream, response.body.into())),
                 status => Err(invalid(format!("status {status}"))),
             };
         }
+        let _ = begun.send(line); // Whoever follows the list is gone: so is this call.
     }
 }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -154,7 +154,7 @@
                 state.addresses.clear();
             }
             for worker in told.workers {
-                if worker.gone {
+                if !worker.serving {
                     state.addresses.remove(&worker.name);
                 } else {
                     state.addresses.insert(worker.name, worker.address);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -17,7 +17,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use weirusher_clock::Clock;
 use weirusher_config::FleetConfig;
-use weirusher_core::{EngineError, Relay};
+use weirusher_core::{EngineError, Relay, WatchTerms};
 use weirusher_peers::{Peers, page};
 use weirusher_platform::client::Names;
 use weirusher_platform::config::{Config, ConfigError};
@@ -181,8 +181,10 @@
     }
 
     fn watch(hub: &Rc<Hub>, config: &Config) -> AbortHandle {
-        let zones = config.site.zones.clone();
-        spawn_local(discovery::run(hub.clone(), config.discovery, zones, config.seed)).abort_handle()
+        let (site, address) = (&config.site, config.discovery);
+        let terms = WatchTerms::new(site.stop_within, site.settings.must_ask);
+        spawn_local(discovery::run(hub.clone(), address, site.zones.clone(), terms, config.seed))
+            .abort_handle()
     }
 
     fn call(&mut self, address: Option<SocketAddr>) {
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -58,8 +58,8 @@
     pub name: ServerId,
     /// Its address here; another may have it later.
     pub address: SocketAddr,
-    /// It left the list.
-    pub gone: bool,
+    /// It takes what is new: it neither leaves nor left.
+    pub serving: bool,
 }
 
 /// What a list tells.
@@ -81,6 +81,9 @@
 }
 
 impl Held {
+    /// The target of the whole list.
+    pub const WHOLE: &str = "/api/targets";
+
     /// Nothing is held yet; `zones` are the zones' names.
     pub fn new(zones: Vec<String>) -> Self {
         Self { index: None, zones }
@@ -89,16 +92,11 @@
     /// The target to ask next: the whole list first, then what is newer, waited for `wait` seconds.
     pub fn target(&self, wait: f64) -> String {
         match self.index {
-            None => "/api/targets".to_string(),
-            Some(index) => format!("/api/targets?since={index}&timeout_ms={}", (wait * 1e3) as u64),
+            None => Self::WHOLE.to_string(),
+            Some(index) => format!("{}?since={index}&timeout_ms={}", Self::WHOLE, (wait * 1e3) as u64),
         }
     }
 
-    /// Forgets the version, so that the whole list is asked for: of another discovery, or after a failure.
-    pub fn forget(&mut self) {
-        self.index = None;
-    }
-
     /// Takes an answer. `None`: it is older than what is held, and the whole list is asked for.
     ///
     /// # Errors
@@ -135,7 +133,7 @@
                 return Err(BadList::Bound("a worker's start that is no time"));
             }
             let name: ServerId = endpoint.name.into();
-            let gone = matches!(endpoint.status, State::Deleted);
+            let serving = matches!(endpoint.status, State::Serving);
             told.servers.push(Server {
                 id: name.clone(),
                 zone: zones.iter().position(|z| *z == endpoint.zone).unwrap_or(0) as u32,
@@ -147,7 +145,7 @@
                     State::Deleted => Lifecycle::Gone,
                 },
             });
-            told.workers.push(Worker { name, address: endpoint.address, gone });
+            told.workers.push(Worker { name, address: endpoint.address, serving });
         }
         Ok(told)
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod agent;
 mod checker;
 mod connections;
 mod counter;
@@ -15,6 +16,7 @@
 mod scripted;
 mod switch;
 
+pub use agent::{Agent, ListCall};
 pub use checker::{CHANCE, Checker, CheckerSpec, Cold};
 pub use counter::{Counter, CounterFault};
 pub use discovery::Discovery;
--- a/src/site.rs
+++ b/src/site.rs
@@ -22,6 +22,8 @@
     pub connect_timeout: f64,
     /// Answers carry load reports.
     pub reports: bool,
+    /// Seconds within which nothing new may begin at a server that is told to leave.
+    pub stop_within: f64,
 }
 
 /// A settings object that cannot be used: where, and what is wrong there.
@@ -141,6 +143,7 @@
             conn_idle: limits.num("ConnIdle", 10.0)?,
             connect_timeout: limits.num("ConnectTimeout", 0.25)?,
             reports: report.text("Source") == "answers",
+            stop_within: keys.sub("Rules").num("StopSendingWithin", 0.5)?,
         })
     }
 }
