An attempt that has not begun when its worker is told to leave is called back

Found by reading beside the fault before: an attempt whose connection was still coming up, for up to the connect timeout, was written to its worker though the list that named the worker as leaving had come meanwhile. A send counts from its first byte, so the time to connect came on top of the time to hear of the drain.

On each list, attempts that wrote nothing yet and whose worker takes nothing new end as never sent, and the module chooses again; idle connections to such workers are dropped. From the list on no first byte goes there.

The test fills a worker's backlog so that its connections come up late; without the change the request arrives there after the drain was told.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -463,6 +463,55 @@
     assert!(last <= STOP_WITHIN, "{last} s after it was told");
 }
 
+/// A worker whose connections come up late: nobody accepts them, and no room is left for more.
+fn late_worker() -> (tokio::net::TcpListener, Vec<std::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(own_address()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let brief = Duration::from_millis(200);
+    let connect = || std::net::TcpStream::connect_timeout(&address, brief);
+    let waiting: Vec<_> = std::iter::from_fn(|| connect().ok()).take(16).collect();
+    assert!(waiting.len() < 16, "its backlog has an end");
+    (listener, waiting)
+}
+
+#[tokio::test]
+async fn a_connection_that_comes_up_once_its_worker_leaves_gets_no_request() {
+    let (late, waiting) = late_worker();
+    let address = late.local_addr().unwrap();
+    let site = Site::with(1, 256, &[("s-late", address)]).await;
+    site.workers[0].set_script(slow(300));
+    // The least busy is chosen: of two at once, one waits for the late one.
+    let mut clients = Vec::new();
+    for _ in 0..2 {
+        let mut client = site.client().await;
+        client.send(&request(&id(), "iso", 9000)).await;
+        clients.push(client);
+    }
+    site.workers[0].wait_for(1).await;
+    let own = site.workers[0].address;
+    site.discovery.tell(3, list(3, &[("s-0", own, "SERVING"), ("s-late", address, "DRAINING")]));
+    site.discovery.taken(3).await;
+    // From here on its connections come up, some when they are tried again.
+    let before = waiting.len();
+    drop(waiting);
+    let came = tokio::spawn(async move {
+        for nth in 0.. {
+            let Ok((mut stream, _)) = late.accept().await else { return };
+            let mut bytes = [0; 64];
+            if matches!(stream.read(&mut bytes).await, Ok(1..)) {
+                panic!("connection {nth} after {before} got {}", String::from_utf8_lossy(&bytes));
+            }
+        }
+    });
+    for mut client in clients {
+        assert_eq!(client.answer().await.unwrap().0, 200);
+    }
+    assert_eq!(site.workers[0].came().len(), 2, "each at the one that stays");
+    assert!(!came.is_finished(), "nothing came at the one that leaves");
+}
+
 #[tokio::test]
 async fn a_counter_whose_answers_cannot_be_read_keeps_nobody_waiting() {
     let site = Site::start(1).await;
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -37,6 +37,14 @@
     answer: oneshot::Sender<Reply>,
 }
 
+/// An attempt that is made.
+struct Underway {
+    server: ServerId,
+    task: AbortHandle,
+    /// Its first byte is on its way: from now on its worker owes it an answer, though it leaves.
+    begun: Rc<Cell<bool>>,
+}
+
 /// A counter call on its way out.
 #[derive(Debug, Clone, Copy)]
 pub struct Call {
@@ -49,8 +57,9 @@
 pub struct State {
     pub relay: Relay,
     waiting: HashMap<JobId, Waiting>,
-    attempts: HashMap<(JobId, u32), AbortHandle>,
+    attempts: HashMap<(JobId, u32), Underway>,
     pub pool: Pool<Place, TcpStream>,
+    /// Where workers listen that take what is new.
     addresses: HashMap<ServerId, SocketAddr>,
     pub seats: Seats,
     pub leavers: HashMap<SeatId, Rc<Notify>>,
@@ -146,7 +155,8 @@
         self.pump();
     }
 
-    /// A list came: connections to where a worker no longer is are dropped.
+    /// A list came: idle connections to workers that leave, or are elsewhere, are dropped, and attempts at them that
+    /// did not begin end here, wherever they wait.
     pub fn list(self: &Rc<Self>, told: Told) {
         {
             let state = &mut *self.state.borrow_mut();
@@ -154,16 +164,17 @@
                 state.addresses.clear();
             }
             for worker in told.workers {
-                if !worker.serving {
-                    state.addresses.remove(&worker.name);
-                } else {
+                if worker.serving {
                     state.addresses.insert(worker.name, worker.address);
+                } else {
+                    state.addresses.remove(&worker.name);
                 }
             }
             let now = self.now();
             let addresses = &state.addresses;
             state.pool.prune(now, |(name, address)| addresses.get(name) == Some(address));
             state.relay.list(now, told.kind, told.servers);
+            state.call_back(now);
         }
         self.ready.set(true);
         self.pump();
@@ -187,8 +198,8 @@
                     self.begin(state, job, attempt, server, timeout);
                 }
                 RelayOutput::Abort { job, attempt } => {
-                    if let Some(task) = state.attempts.remove(&(job, attempt)) {
-                        task.abort();
+                    if let Some(underway) = state.attempts.remove(&(job, attempt)) {
+                        underway.task.abort();
                     }
                 }
                 RelayOutput::Answer { job, verdict } => state.reply(&job, Reply::Decided(verdict)),
@@ -217,13 +228,37 @@
     fn begin(self: &Rc<Self>, state: &mut State, job: JobId, attempt: u32, server: ServerId, timeout: f64) {
         let Some(passed) = state.waiting.get(&job).map(|w| w.passed.clone()) else { return };
         let address = state.addresses.get(&server).copied();
-        let try_ = worker::Attempt { job: job.clone(), attempt, server, address, timeout, passed };
-        let task = tokio::task::spawn_local(worker::run(self.clone(), try_));
-        state.attempts.insert((job, attempt), task.abort_handle());
+        let (begun, at) = (Rc::new(Cell::new(false)), server.clone());
+        let made = worker::Attempt {
+            job: job.clone(),
+            attempt,
+            server,
+            address,
+            timeout,
+            passed,
+            begun: begun.clone(),
+        };
+        let task = tokio::task::spawn_local(worker::run(self.clone(), made)).abort_handle();
+        state.attempts.insert((job, attempt), Underway { server: at, task, begun });
     }
 }
 
 impl State {
+    /// Ends the attempts that did not begin, their connections still coming up, at workers that take nothing new.
+    fn call_back(&mut self, now: f64) {
+        let addresses = &self.addresses;
+        let late = |(_, underway): &(&(JobId, u32), &mut Underway)| {
+            !underway.begun.get() && !addresses.contains_key(&underway.server)
+        };
+        let ended: Vec<_> = self.attempts.iter_mut().filter(late).map(|(key, _)| key.clone()).collect();
+        for key in ended {
+            if let Some(underway) = self.attempts.remove(&key) {
+                underway.task.abort();
+            }
+            self.relay.ended(now, &key.0, key.1, Status::Moot, Load::default());
+        }
+    }
+
     /// Tells clients' connections to go.
     pub fn let_go(&self, ids: &[SeatId]) {
         ids.iter().filter_map(|id| self.leavers.get(id)).for_each(|leave| leave.notify_one());
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::hub::{Hub, Place};
 use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,6 +29,8 @@
     pub address: Option<SocketAddr>,
     pub timeout: f64,
     pub passed: Rc<Passed>,
+    /// Set as its first byte is written.
+    pub begun: Rc<Cell<bool>>,
 }
 
 /// A connection in use, or being made; dropped, it is closed and counted so.
@@ -79,6 +82,7 @@
     let Some(stream) = lease.stream.as_mut() else { return nothing(Status::Moot) };
     let mut buffer = BytesMut::with_capacity(FIRST_READ);
     attempt.passed.write_head(&mut buffer, attempt.timeout - (hub.now() - began));
+    attempt.begun.set(true);
     if write(stream, &mut buffer, attempt.passed.body()).await.is_err() {
         return nothing(Status::ConnectFailed);
     }
