One unreadable entry costs its own worker, not the list; 4,096 workers fit indented

Each entry is read by itself now. A worker of which nothing sure was said gets nothing new: in a whole list it is left out, changes name it as leaving, the log tells which and why. A list with no readable entry is refused as before and the last one stays. The bound on bytes follows from the bounds on workers and names.

--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -158,17 +158,19 @@
     /// A list came: idle connections to workers that leave, or are elsewhere, are dropped, and attempts at them that
     /// did not begin end here, wherever they wait.
     pub fn list(self: &Rc<Self>, told: Told) {
+        if !told.unread.is_empty() {
+            tracing::warn!(entries = ?told.unread, "the list has entries that cannot be used: their workers get nothing new");
+        }
         {
             let state = &mut *self.state.borrow_mut();
             if told.kind != weirusher::ListKind::Changes {
                 state.addresses.clear();
             }
             for worker in told.workers {
-                if worker.serving {
-                    state.addresses.insert(worker.name, worker.address);
-                } else {
-                    state.addresses.remove(&worker.name);
-                }
+                match worker.address {
+                    Some(address) => state.addresses.insert(worker.name, address),
+                    None => state.addresses.remove(&worker.name),
+                };
             }
             let now = self.now();
             let addresses = &state.addresses;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,27 +1,31 @@
 //! The list of workers, as discovery and the configuration tell it.
 
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 use weirusher::{Lifecycle, ListKind, Server, ServerId};
 
-/// Most bytes of a list.
-pub const MOST_LIST: usize = 1024 * 1024;
 /// Most workers of a list.
 const MOST_WORKERS: usize = 4096;
 /// Most bytes of a worker's name.
 const MOST_NAME: usize = 256;
+/// Bytes of an entry beside its name, indented and with room for fields that are not known here.
+const ENTRY: usize = 768;
+/// Most bytes of a list.
+pub const MOST_LIST: usize = MOST_WORKERS * (MOST_NAME + ENTRY);
+/// Entries that could not be read of which the log tells.
+const MOST_TOLD: usize = 4;
 
 /// A list, or changes to one, as they come.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Listing {
     index: u64,
     snapshot: bool,
-    endpoints: Vec<Endpoint>,
+    endpoints: Vec<Value>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
 struct Endpoint {
-    name: String,
     address: SocketAddr,
     #[serde(default)]
     zone: String,
@@ -38,6 +42,8 @@
     Serving,
     Draining,
     Deleted,
+    #[serde(other)]
+    Unknown,
 }
 
 /// Why a list is not used; the last one stays in use.
@@ -46,20 +52,18 @@
     /// It is no list.
     #[error("the list cannot be read: {0}")]
     Unreadable(#[from] serde_json::Error),
-    /// It passes a bound, or holds a figure that is none.
+    /// It passes a bound.
     #[error("the list names {0}")]
     Bound(&'static str),
 }
 
-/// A worker and where it listens.
+/// A worker and where it listens, if it takes what is new.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
     /// Its name, which is its identity.
     pub name: ServerId,
-    /// Its address here; another may have it later.
-    pub address: SocketAddr,
-    /// It takes what is new: it neither leaves nor left.
-    pub serving: bool,
+    /// Its address here; another may have it later. `None`: it leaves, left, or nothing sure was said of it.
+    pub address: Option<SocketAddr>,
 }
 
 /// What a list tells.
@@ -71,6 +75,8 @@
     pub servers: Vec<Server>,
     /// Its entries' addresses.
     pub workers: Vec<Worker>,
+    /// The entries that cannot be read, some of them by name, and what is wrong.
+    pub unread: Vec<String>,
 }
 
 /// Which version of the list is held, and how to ask for the next.
@@ -115,38 +121,82 @@
 }
 
 impl Listing {
-    /// What the list tells; a whole one is of kind `whole`.
+    /// What the list tells; a whole one is of kind `whole`. An entry that cannot be read costs that entry only: its
+    /// worker gets nothing new.
     ///
     /// # Errors
-    /// It passes a bound, or holds a figure that is none.
+    /// It passes a bound.
     pub fn told(self, zones: &[String], whole: ListKind) -> Result<Told, BadList> {
         if self.endpoints.len() > MOST_WORKERS {
             return Err(BadList::Bound("too many workers"));
         }
         let kind = if self.snapshot { whole } else { ListKind::Changes };
-        let mut told = Told { kind, servers: Vec::new(), workers: Vec::new() };
-        for endpoint in self.endpoints {
-            if endpoint.name.is_empty() || endpoint.name.len() > MOST_NAME {
-                return Err(BadList::Bound("a worker whose name is none"));
-            }
-            if !endpoint.since_ms.is_finite() || endpoint.since_ms < 0.0 {
-                return Err(BadList::Bound("a worker's start that is no time"));
+        let mut told = Told { kind, servers: Vec::new(), workers: Vec::new(), unread: Vec::new() };
+        let empty = self.endpoints.is_empty();
+        for entry in self.endpoints {
+            let name: Option<ServerId> = entry.get("name").and_then(Value::as_str).and_then(name);
+            match (name, Endpoint::read(entry)) {
+                (Some(name), Ok(endpoint)) => endpoint.tell(name, zones, &mut told),
+                (name, read) => {
+                    let wrong = read.err().unwrap_or_else(|| "a name that is none".into());
+                    told.unread(name, &wrong);
+                }
             }
-            let name: ServerId = endpoint.name.into();
-            let serving = matches!(endpoint.status, State::Serving);
-            told.servers.push(Server {
-                id: name.clone(),
-                zone: zones.iter().position(|z| *z == endpoint.zone).unwrap_or(0) as u32,
-                cell: endpoint.group,
-                started: endpoint.since_ms / 1e3,
-                lifecycle: match endpoint.status {
-                    State::Serving => Lifecycle::Running,
-                    State::Draining => Lifecycle::Draining,
-                    State::Deleted => Lifecycle::Gone,
-                },
-            });
-            told.workers.push(Worker { name, address: endpoint.address, serving });
+        }
+        if told.servers.is_empty() && !empty {
+            return Err(BadList::Bound("no worker that can be read"));
         }
         Ok(told)
     }
 }
+
+fn name(text: &str) -> Option<ServerId> {
+    (!text.is_empty() && text.len() <= MOST_NAME).then(|| text.into())
+}
+
+impl Endpoint {
+    fn read(entry: Value) -> Result<Self, String> {
+        let endpoint: Self = serde_json::from_value(entry).map_err(|error| error.to_string())?;
+        if !endpoint.since_ms.is_finite() || endpoint.since_ms < 0.0 {
+            return Err("since_ms is no time".into());
+        }
+        Ok(endpoint)
+    }
+
+    fn tell(self, name: ServerId, zones: &[String], told: &mut Told) {
+        let lifecycle = match self.status {
+            State::Serving => Lifecycle::Running,
+            State::Draining | State::Unknown => Lifecycle::Draining,
+            State::Deleted => Lifecycle::Gone,
+        };
+        if let State::Unknown = self.status {
+            told.note(&name, "a status that is not known");
+        }
+        told.servers.push(Server {
+            id: name.clone(),
+            zone: zones.iter().position(|z| *z == self.zone).unwrap_or(0) as u32,
+            cell: self.group,
+            started: self.since_ms / 1e3,
+            lifecycle,
+        });
+        let address = (lifecycle == Lifecycle::Running).then_some(self.address);
+        told.workers.push(Worker { name, address });
+    }
+}
+
+impl Told {
+    /// An entry that cannot be read. In a whole list its worker is as one that left; changes say so.
+    fn unread(&mut self, name: Option<ServerId>, wrong: &str) {
+        self.note(name.as_deref().unwrap_or("?"), wrong);
+        let Some(id) = name.filter(|_| self.kind == ListKind::Changes) else { return };
+        let (zone, cell, started, lifecycle) = (0, 0, 0.0, Lifecycle::Draining);
+        self.servers.push(Server { id: id.clone(), zone, cell, started, lifecycle });
+        self.workers.push(Worker { name: id, address: None });
+    }
+
+    fn note(&mut self, name: &str, wrong: &str) {
+        if self.unread.len() < MOST_TOLD {
+            self.unread.push(format!("{name}: {wrong}"));
+        }
+    }
+}
