A close destroys no answer, a client that does not read is let go, no backlog is reset

node/client.rs ends each connection after its last answer as it ended those turned away: it stops sending, and reads on within a bound. After SIGTERM connections are accepted until nobody waits any more, from the same moment on as before.

For the listener there is no test yet.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -309,6 +309,46 @@
     assert_eq!(site.client().await.ask(&request(&id(), "iso", 10_000)).await.unwrap().0, 200);
 }
 
+/// A client that takes in few bytes until it reads.
+async fn narrow(site: &Site) -> Client {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    Client(socket.connect(site.listen).await.unwrap())
+}
+
+#[tokio::test]
+async fn a_client_that_does_not_read_holds_its_seat_for_a_while_only() {
+    let site = Site::start(1).await;
+    site.workers[0].set_script(|_| Reply::ok(&"x".repeat(60_000)));
+    let mut deaf = narrow(&site).await;
+    // More answers than the way to it holds: it asks on until it is let go.
+    let asks = async {
+        for _ in 0..100_000 {
+            if deaf.0.write_all(request(&id(), "iso", 20_000).as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        panic!("all of it went");
+    };
+    tokio::time::timeout(LIMIT, asks).await.expect("it is let go");
+}
+
+#[tokio::test]
+async fn a_close_over_bytes_that_nobody_asked_for_destroys_no_answer() {
+    let site = Site::start(1).await;
+    site.workers[0].set_script(|_| Reply::ok(&"x".repeat(60_000)));
+    for _ in 0..4 {
+        let mut client = narrow(&site).await;
+        let last = request(&id(), "iso", 3000).replace("X-Qos", "Connection: close\r\nX-Qos");
+        client.send(&last).await;
+        client.send(&"y".repeat(100_000)).await;
+        // It reads once the gatekeeper has written what the way holds.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let answer = client.answer().await.expect("a whole answer");
+        assert_eq!((answer.0, answer.2.len()), (200, 60_000));
+    }
+}
+
 #[tokio::test]
 async fn a_client_that_closes_one_way_only_is_answered_still() {
     let site = Site::start(1).await;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -20,18 +20,27 @@
 const MOST_AHEAD: usize = 16 * 1024;
 /// Pause after a connection that could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// What is still read of a request that was turned away, and for how long, so that its error arrives.
+/// What is still read after the last answer, and for how long: a close over unread bytes is a reset, which may
+/// destroy the answer on its way.
 const LINGER: (usize, Duration) = (256 * 1024, Duration::from_millis(300));
+/// The longest that a client may take to read an answer: one that does not read holds its seat for no longer.
+const UNREAD: Duration = Duration::from_millis(2500);
 
-/// Accepts connections while there are seats.
-pub async fn listen(hub: Rc<Hub>, listener: Rc<TcpListener>) {
+/// Accepts connections while there are seats, until the last is called for and nobody waits.
+pub async fn listen(hub: Rc<Hub>, listener: TcpListener) {
     let mut next: SeatId = 0;
     loop {
         while !hub.state.borrow().seats.free() {
             hub.idlers.set(hub.state.borrow().seats.next_overdue());
             hub.seat.notified().await;
         }
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            // First those that wait: a connection that was made is not reset with its request on it.
+            biased;
+            accepted = listener.accept() => accepted,
+            () = hub.last.notified() => return,
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 tracing::warn!(%error, "no connection can be accepted");
@@ -135,6 +144,27 @@
         while let Ok(true) = self.turn().await {}
     }
 
+    /// Writes an answer whole, or gives the client up that does not read it.
+    async fn put(&mut self, mut answer: impl Buf) -> io::Result<()> {
+        tokio::time::timeout(UNREAD, self.stream.write_all_buf(&mut answer)).await?
+    }
+
+    /// Ends the connection after its last answer, so that it arrives; what still comes is dropped within a bound.
+    async fn part(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let drop_rest = async {
+            let (mut left, mut scrap) = (LINGER.0, [0; 4096]);
+            while left > 0 {
+                match self.stream.read(&mut scrap).await {
+                    Ok(1..) => left = left.saturating_sub(scrap.len()),
+                    _ => break,
+                }
+            }
+        };
+        let _ = tokio::time::timeout(LINGER.1, drop_rest).await; // It is closed in either case.
+        Ok(())
+    }
+
     /// One request and its answer; `false`: the connection is over.
     async fn turn(&mut self) -> io::Result<bool> {
         match self.next().await {
@@ -143,9 +173,8 @@
                 let close = closes || self.stopping();
                 let mut out = BytesMut::new();
                 client::write_ready(&mut out, self.seat.hub.ready.get() && !self.stopping(), close);
-                self.stream.write_all(&out).await?;
-                self.idle();
-                Ok(!close)
+                self.put(out).await?;
+                self.answered(close).await
             }
             Ok(Next::Request(demand, passed, _held)) => self.request(demand, passed).await,
             Err(bad) => {
@@ -252,7 +281,16 @@
         open.answered = true;
         let close = closes || self.stopping();
         self.write(reply, close).await?;
-        self.idle();
+        self.answered(close).await
+    }
+
+    /// An answer is written: whether the connection goes on.
+    async fn answered(&mut self, close: bool) -> io::Result<bool> {
+        if close {
+            self.part().await?;
+        } else {
+            self.idle();
+        }
         Ok(!close)
     }
 
@@ -288,25 +326,14 @@
                 Bytes::new()
             }
         };
-        self.stream.write_all_buf(&mut out.chain(body)).await
+        self.put(out.chain(body)).await
     }
 
     /// An error and a close; what still arrives is dropped within a bound.
     async fn turn_down(&mut self, bad: BadRequest) -> io::Result<()> {
         let mut out = BytesMut::new();
         client::write_error(&mut out, bad);
-        self.stream.write_all(&out).await?;
-        self.stream.shutdown().await?;
-        let drop_rest = async {
-            let (mut left, mut scrap) = (LINGER.0, [0; 4096]);
-            while left > 0 {
-                match self.stream.read(&mut scrap).await {
-                    Ok(1..) => left = left.saturating_sub(scrap.len()),
-                    _ => break,
-                }
-            }
-        };
-        let _ = tokio::time::timeout(LINGER.1, drop_rest).await; // It is closed in either case.
-        Ok(())
+        self.put(out).await?;
+        self.part().await
     }
 }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -84,6 +84,8 @@
     pub called: Notify,
     /// A client's seat came free.
     pub seat: Notify,
+    /// No connection is accepted any more, once nobody waits.
+    pub last: Notify,
     /// A list is held, and requests may be decided on.
     pub ready: Cell<bool>,
     /// No answer keeps its connection.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, JoinHandle, spawn_local};
 use weirusher_clock::Clock;
 use weirusher_config::FleetConfig;
 use weirusher_core::{EngineError, Relay, WatchTerms};
@@ -118,7 +118,7 @@
     let mut signals = Signals::new().map_err(StartError::Signals)?;
     let config = read(file)?;
     let listener = TcpListener::bind(config.listen).await;
-    let listener = Rc::new(listener.map_err(|e| StartError::Listen(config.listen, e))?);
+    let listener = listener.map_err(|e| StartError::Listen(config.listen, e))?;
     let hub = hub(&config)?;
     if let Some(fleet) = fleet {
         fleet.start(&config).await?;
@@ -129,7 +129,7 @@
     }
     spawn_local(timers(hub.clone()));
     spawn_local(idlers(hub.clone()));
-    let accepting = spawn_local(client::listen(hub.clone(), listener.clone())).abort_handle();
+    let accepting = spawn_local(client::listen(hub.clone(), listener));
     tracing::info!(name = config.name, listen = %config.listen, ?hub.budget, "serving");
     loop {
         tokio::select! {
@@ -141,7 +141,7 @@
             _ = signals.interrupt.recv() => break,
         }
     }
-    Ok(stop(&hub, &accepting, listener).await)
+    Ok(stop(&hub, accepting).await)
 }
 
 fn hub(config: &Config) -> Result<Rc<Hub>, StartError> {
@@ -158,6 +158,7 @@
         idlers: Alarm::default(),
         called: Notify::new(),
         seat: Notify::new(),
+        last: Notify::new(),
         ready: Cell::new(false),
         stopping: Cell::new(false),
     }))
@@ -237,7 +238,7 @@
 }
 
 /// Answers what was taken, takes what still comes for a while, and closes what is idle.
-async fn stop(hub: &Rc<Hub>, accepting: &AbortHandle, listener: Rc<TcpListener>) -> usize {
+async fn stop(hub: &Rc<Hub>, accepting: JoinHandle<()>) -> usize {
     hub.stopping.set(true);
     tracing::info!(owed = hub.state.borrow().relay.owed(), "stopping");
     {
@@ -246,9 +247,9 @@
         state.let_go(&unused);
     }
     tokio::time::sleep(LAST_ACCEPTS).await;
-    accepting.abort();
-    drop(listener);
+    hub.last.notify_one();
     let settled = async {
+        let _ = accepting.await; // It ends once nobody waits to be accepted.
         while hub.state.borrow().relay.owed() > 0 || !hub.state.borrow().seats.is_empty() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
