Told to stop, a gatekeeper takes the rest of a request that has begun to come

Found by sending the signal amid a request: at SIGTERM every connection without an open request was let go, those with half a request among them. One whose head was half there was answered 408 at once though its rest was on its way, and a connection just made was closed before its first request could be read.

One test of the seats, one of the process; on the version before the latter gets an error in place of the worker's answer.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -79,6 +79,16 @@
 
     /// Workers of the project's own, and more that listen elsewhere.
     async fn with(workers: usize, sockets: usize, others: &[(&str, SocketAddr)]) -> Self {
+        Self::configured(workers, sockets, others, |text| text).await
+    }
+
+    /// A gatekeeper whose configuration was changed before it starts.
+    async fn configured(
+        workers: usize,
+        sockets: usize,
+        others: &[(&str, SocketAddr)],
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
         let mut started = Vec::new();
         for _ in 0..workers {
             started.push(Scripted::start(ANYWHERE, echo).await.unwrap());
@@ -93,7 +103,8 @@
         let listen = tokio::net::TcpListener::bind(own_address()).await.unwrap().local_addr().unwrap();
         let dir = tempfile::tempdir().unwrap();
         let file = dir.path().join("config.json");
-        std::fs::write(&file, configuration(listen, discovery.address(), counter.address, sockets)).unwrap();
+        let text = change(configuration(listen, discovery.address(), counter.address, sockets));
+        std::fs::write(&file, text).unwrap();
         let exe = env!("CARGO_BIN_EXE_weirusher");
         let child = Command::new(exe)
             .arg("node")
@@ -623,6 +634,22 @@
     assert!(site.child.wait().unwrap().success());
 }
 
+#[tokio::test]
+async fn told_to_stop_amid_a_request_it_takes_the_rest_and_answers() {
+    let site = Site::start(1).await;
+    let (asked, mut client) = (id(), site.client().await);
+    let whole = request(&asked, "iso", 9000);
+    let (first, rest) = whole.split_at(40);
+    client.send(first).await;
+    // One that is idle shows when the signal was taken in.
+    let mut idle = site.client().await;
+    assert_eq!(idle.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+    site.signal(nix::sys::signal::Signal::SIGTERM);
+    idle.closed().await;
+    client.send(rest).await;
+    assert_eq!(client.answer().await.expect("a whole answer").2, format!("done {asked}"));
+}
+
 #[tokio::test]
 async fn told_to_stop_it_takes_on_whoever_waits_to_be_accepted() {
     let site = Site::with(1, 64, &[]).await;
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -102,9 +102,11 @@
         gone
     }
 
-    /// All that have no open request: at the end.
+    /// All that had a request and have none now: at the end. One that is new, or has brought half a request, keeps
+    /// its time: the rest is on its way.
     pub fn unused(&mut self) -> Vec<SeatId> {
-        std::mem::take(&mut self.spare).into_iter().map(|(_, _, id)| id).collect()
+        let idle = self.spare.split_off(&(Use::Idle, 0, 0));
+        idle.into_iter().map(|(_, _, id)| id).collect()
     }
 
     /// When [`Seats::overdue`] next has something to say.
@@ -162,6 +164,17 @@
         assert_eq!(seats.overdue(1e6), [0u64; 0], "the busy one stays");
     }
 
+    #[test]
+    fn at_the_end_the_idle_go_and_the_new_keep_their_time() {
+        let mut seats = Seats::new(4);
+        (1..=3).for_each(|id| seats.sit(1.0, id));
+        seats.idle(1.5, 2);
+        seats.busy(1.5, 3);
+        assert_eq!(seats.unused(), [2]);
+        assert_eq!(seats.unused(), [0u64; 0], "none is named twice");
+        assert_eq!(seats.overdue(1.0 + FIRST_REQUEST), [1]);
+    }
+
     #[test]
     fn one_that_says_nothing_is_let_go_though_seats_are_free() {
         let mut seats = Seats::new(4);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -25,6 +25,7 @@
   "called-back|crates/node/src/hub.rs|state.call_back(now);||test:weirusher-cli"
   "unread-answer|crates/node/src/client.rs|tokio::time::timeout(UNREAD,|tokio::time::timeout(Duration::MAX,|test:weirusher-cli"
   "close-over-bytes|crates/node/src/client.rs|self.part().await?;||test:weirusher-cli"
+  "end-amid-request|crates/core/src/seats.rs|let idle = self.spare.split_off(\&(Use::Idle, 0, 0));|let idle = std::mem::take(\&mut self.spare);|test:weirusher-core"
   "fleet-proof|crates/fleet/src/fleet.rs|if header.knows != self.incarnation {|if false {|test:weirusher-fleet"
   "fleet-replay|crates/fleet/src/fleet.rs|!link.window.take(header.sequence) {|false {|test:weirusher-fleet"
   "fleet-stale|crates/fleet/src/fleet.rs|if header.incarnation < known {|if false {|test:weirusher-fleet"
