--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -192,7 +192,8 @@
 
     /// Carries out what the ledger wants done.
     fn pump(self: &Rc<Self>) {
-        let state = &mut *self.state.borrow_mut();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
         let mut outputs = std::mem::take(&mut state.outputs);
         state.relay.take_outputs(&mut outputs);
         let (mut called, mut turned_away) = (false, Vec::new());
@@ -224,9 +225,16 @@
         if called {
             self.called.notify_one();
         }
+        if turned_away.is_empty() {
+            return;
+        }
         for call in turned_away {
             state.relay.counted(self.now(), call, Status::Full, 0.0, 0.0);
         }
+        // What was held for these calls is decided now, not with the next event. It ends: a counter that turned calls
+        // away is not asked again at once.
+        drop(guard);
+        self.pump();
     }
 
     fn begin(self: &Rc<Self>, state: &mut State, job: JobId, attempt: u32, server: ServerId, timeout: f64) {
