A known list that cannot be used keeps no gatekeeper from starting or moving

Found by reading: `known` was parsed with the configuration, so that one field of a list that discovery tells anew in its first answer refused the start, and on SIGHUP a new configuration. It is logged and left out; discovery is asked first.

Test of the process: with `known` spoilt it starts, is ready once the agent has answered, and serves. Before, it ended with an error.

--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -603,6 +603,14 @@
     tokio::time::timeout(LIMIT, moved).await.expect("the new counter is called");
 }
 
+#[tokio::test]
+async fn a_known_list_that_cannot_be_used_keeps_nobody_from_starting() {
+    let spoil = |text: String| text.replace(r#""endpoints":[]"#, r#""endpoints":7"#);
+    let site = Site::configured(1, 256, &[], spoil).await;
+    assert!(std::fs::read_to_string(&site.file).unwrap().contains(r#""endpoints":7"#));
+    assert_eq!(site.client().await.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+}
+
 #[tokio::test]
 async fn told_to_stop_it_answers_what_it_took_and_ends() {
     let mut site = Site::start(6).await;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -124,8 +124,10 @@
         fleet.start(&config).await?;
     }
     let mut world = World::new(hub.clone(), &config);
-    if let Some(known) = config.known.clone() {
-        hub.list(known);
+    match config.known {
+        Ok(Some(known)) => hub.list(known),
+        Ok(None) => {}
+        Err(error) => tracing::warn!(%error, "the known list is not used; discovery is asked first"),
     }
     spawn_local(timers(hub.clone()));
     spawn_local(idlers(hub.clone()));
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -15,7 +15,7 @@
     seed: Value,
     limits: Limits,
     counter: Option<SocketAddr>,
-    known: Option<Listing>,
+    known: Option<Value>,
     settings: Value,
 }
 
@@ -31,7 +31,7 @@
 }
 
 /// A gatekeeper's configuration.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Config {
     /// Its name.
     pub name: String,
@@ -45,8 +45,9 @@
     pub seed: u64,
     /// What it may use.
     pub limits: Limits,
-    /// The list as this gatekeeper last had it.
-    pub known: Option<Told>,
+    /// The list as this gatekeeper last had it. One that cannot be used is no reason not to start, or not to move:
+    /// discovery tells a younger one.
+    pub known: Result<Option<Told>, BadList>,
     /// What it decides by.
     pub site: Site,
 }
@@ -60,9 +61,6 @@
     /// Its settings cannot be used.
     #[error(transparent)]
     Settings(#[from] SiteError),
-    /// Its list cannot be used.
-    #[error("known: {0}")]
-    Known(#[from] BadList),
     /// Its seed is no number.
     #[error("seed: neither a number nor hex digits")]
     Seed,
@@ -80,7 +78,7 @@
     pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let file: File = serde_json::from_slice(text)?;
         let site = Site::read(&file.settings)?;
-        let known = file.known.map(|list| list.told(&site.zones, ListKind::Stale)).transpose()?;
+        let known = file.known.map(|list| Listing::deserialize(list)?.told(&site.zones, ListKind::Stale));
         Ok(Self {
             name: file.name,
             listen: file.listen,
@@ -88,7 +86,7 @@
             counter: file.counter,
             seed: seed(&file.seed).ok_or(ConfigError::Seed)?,
             limits: file.limits,
-            known,
+            known: known.transpose(),
             site,
         })
     }
