--- a/tools/sweep.sh
+++ b/tools/sweep.sh
@@ -39,5 +39,4 @@
   for seed in $(seq "${seeds%-*}" "${seeds#*-}"); do echo "$day $seed"; done
 done | xargs -P "$jobs" -L 1 bash -c 'play "$@"' play
 left=$(find "$logs" -maxdepth 1 -name '*.out' | wc -l)
-echo "$left of the plays failed${left:+; their logs: $logs}"
-[ "$left" -eq 0 ]
+[ "$left" -eq 0 ] || { echo "$left of the plays failed; their logs: $logs"; exit 1; }
