An answer without news works nothing through; a call given up moves no version

Found on reading the change again. Watches are short now, eight answers a second, and each empty one still went through the hub: it pruned the pools, walked the attempts, and had the module sort the workers anew. Empty changes stop at the follower. And an answer that came in as its call was given up was taken into the held version before it was dropped; later answers mended that, but the version and the list must not part: it is dropped first.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::{AbortHandle, JoinSet};
+use weirusher::ListKind;
 use weirusher_core::{LineId, ListWatch, WatchStep, WatchTerms};
 use weirusher_platform::list::{Held, MOST_LIST};
 use weirusher_platform::response::ResponseReader;
@@ -87,21 +88,25 @@
     }
 
     fn ended(&mut self, line: LineId, answer: io::Result<Answer>) {
-        let now = self.hub.now();
-        self.tasks.remove(&line);
+        // One that was given up is older than what is held: it must not move the version either.
+        if self.tasks.remove(&line).is_none() {
+            return;
+        }
         let (stream, body) = match answer {
             Ok(answer) => answer,
             Err(error) => return self.failed(line, error.to_string()),
         };
         match self.held.take(&body) {
             Ok(Some(told)) => {
-                // One that was given up is older than what is held.
-                let Some(steps) = self.watch.answered(now, line) else { return };
+                let Some(steps) = self.watch.answered(self.hub.now(), line) else { return };
                 self.carry_out(steps);
                 if !std::mem::take(&mut self.trouble).is_empty() {
                     tracing::info!("discovery answers again");
                 }
-                self.hub.list(told);
+                // Most answers bring no news: nothing is worked through for them.
+                if told.kind != ListKind::Changes || !told.workers.is_empty() {
+                    self.hub.list(told);
+                }
                 self.call(line, Some(stream), self.held.target(self.watch.wait()));
             }
             Ok(None) => self.failed(line, "changes to an older list than the one that is held".into()),
