--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -623,6 +623,20 @@
     assert!(site.child.wait().unwrap().success());
 }
 
+#[tokio::test]
+async fn told_to_stop_it_takes_on_whoever_waits_to_be_accepted() {
+    let site = Site::with(1, 64, &[]).await;
+    // More than it has seats for, each for the while that a silent one is borne: one that asks waits behind them.
+    let mut silent = Vec::new();
+    for _ in 0..200 {
+        silent.push(site.client().await);
+    }
+    let (asked, mut last) = (id(), site.client().await);
+    last.send(&request(&asked, "iso", 20_000)).await;
+    site.signal(nix::sys::signal::Signal::SIGTERM);
+    assert_eq!(last.answer().await.expect("a whole answer").2, format!("done {asked}"));
+}
+
 #[tokio::test]
 async fn under_load_it_is_one_process_whose_sockets_are_tcp_over_ipv4() {
     let site = Site::start(2).await;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -64,7 +64,12 @@
     fn carry_out(&mut self, steps: Vec<WatchStep>) {
         for step in steps {
             match step {
-                WatchStep::Open(line) => self.call(line, None, Held::WHOLE.to_string()),
+                WatchStep::Open(line) => {
+                    if !self.tasks.is_empty() {
+                        self.note("no answer in time".into());
+                    }
+                    self.call(line, None, Held::WHOLE.to_string());
+                }
                 WatchStep::Close(line) => {
                     if let Some(task) = self.tasks.remove(&line) {
                         task.abort();
@@ -106,6 +111,10 @@
 
     fn failed(&mut self, line: LineId, error: String) {
         self.watch.ended(self.hub.now(), line);
+        self.note(error);
+    }
+
+    fn note(&mut self, error: String) {
         if error != self.trouble {
             tracing::info!(error, "discovery is asked anew; the last list stays in use");
             self.trouble = error;
--- /dev/null
+++ b/tools/sweep.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Plays days of the standing test on many seeds and prints a line for each: day, site, seed, gate, rule, served, score.
+# Usage: tools/sweep.sh [-j JOBS] [-n NODES] [-l LOGS] SITE SEEDS DAY …     e.g. tools/sweep.sh SITE 1-5 herd+mass zone+brink+mass
+# A play that breaks a rule or does not end keeps its logs under LOGS; ends with 1 where there was one.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+jobs=3 nodes="" logs="$(mktemp -d)"
+while getopts j:n:l: option; do
+  case $option in
+    j) jobs=$OPTARG ;;
+    n) nodes=$OPTARG ;;
+    l) logs=$OPTARG ;;
+    *) exit 2 ;;
+  esac
+done
+shift $((OPTIND - 1))
+[ $# -ge 3 ] || { sed -n 3p "$0" >&2; exit 2; }
+site=$1 seeds=$2
+shift 2
+export site nodes logs bench=../given/kit/more/mass/bin/lbreal
+
+play() {
+  local day=$1 seed=$2 name out line rule
+  name=$(basename "$site" .toml)-$day-$seed
+  out=$logs/$name.out
+  # A day ends within 25 minutes by the page; what takes longer is a failure too.
+  timeout 1600 "$bench" "$site" --rough "$day" --seed "$seed" ${nodes:+--nodes "$nodes"} --logs "$logs/$name" >"$out" 2>&1 || true
+  line=$(grep -E ' score [0-9.]+' "$out" | tail -1 || true)
+  rule=$(grep -h 'RULE BROKEN' "$out" | sed -E 's/.*zero\): //' | cut -c1-120 || true)
+  served=$(sed -nE 's/.*served ([0-9.]+).*/\1/p' <<<"$line")
+  gate=$(sed -nE 's/.*\(gate ([0-9.]+)\).*/\1/p' <<<"$line")
+  score=$(sed -nE 's/.* score ([0-9.]+).*/\1/p' <<<"$line")
+  echo "$day $(basename "$site" .toml) $seed gate ${gate:-none} served ${served:-none} score ${score:-none} ${rule:-${line:+kept}}"
+  if [ -n "$line" ] && [ -z "$rule" ] && ! grep -q 'BROKEN\|CRASH' <<<"$line"; then rm -rf "${logs:?}/$name" "$out"; fi
+}
+export -f play
+
+for day in "$@"; do
+  for seed in $(seq "${seeds%-*}" "${seeds#*-}"); do echo "$day $seed"; done
+done | xargs -P "$jobs" -L 1 bash -c 'play "$@"' play
+left=$(find "$logs" -maxdepth 1 -name '*.out' | wc -l)
+echo "$left of the plays failed${left:+; their logs: $logs}"
+[ "$left" -eq 0 ]
