A client whose stream ends has gone: nothing of it is sent on any more

Cause: crates/node/src/client.rs took the end of a client's stream for a half close and worked on until a reset; past 16 KiB read ahead it did not look at all, so a client that floods and goes was served to the end. The users' terms: a client that closes its connection has gone, and an attempt that begins more than 0.1 s later is a break. Change: while a request is open, the end of the stream, or a reset, withdraws it at once, also where bytes are unread.

--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -217,3 +217,16 @@
         body.len()
     )
 }
+
+/// A worker whose connections come up late: nobody accepts them, and no room is left for more.
+pub fn late_worker() -> (tokio::net::TcpListener, Vec<std::net::TcpStream>) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind(own_address()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    let brief = Duration::from_millis(200);
+    let connect = || std::net::TcpStream::connect_timeout(&address, brief);
+    let waiting: Vec<_> = std::iter::from_fn(|| connect().ok()).take(16).collect();
+    assert!(waiting.len() < 16, "its backlog has an end");
+    (listener, waiting)
+}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use weirusher::JobId;
@@ -129,14 +129,12 @@
     leave: Rc<Notify>,
     buffer: BytesMut,
     search: HeadSearch,
-    /// The client sends nothing more; it may still read.
-    ended: bool,
 }
 
 impl Connection {
     fn new(seat: Seat, stream: TcpStream, leave: Rc<Notify>) -> Self {
         let (buffer, search) = (BytesMut::with_capacity(BUFFER), HeadSearch::default());
-        Self { seat, stream, leave, buffer, search, ended: false }
+        Self { seat, stream, leave, buffer, search }
     }
 
     async fn serve(mut self) {
@@ -205,9 +203,6 @@
             if let Some(end) = self.search.end(&self.buffer)? {
                 return self.whole(end).await;
             }
-            if self.ended {
-                return Ok(Next::End);
-            }
             if !partial && !self.buffer.is_empty() {
                 // Half a request has as long as a new connection has.
                 partial = true;
@@ -234,14 +229,7 @@
                 }
             }
         };
-        match read {
-            Ok(0) => {
-                self.ended = true;
-                Ok(false)
-            }
-            Ok(_) => Ok(true),
-            Err(_) => Ok(false),
-        }
+        Ok(matches!(read, Ok(1..)))
     }
 
     /// A head is whole: reads it and its body.
@@ -294,17 +282,26 @@
         Ok(!close)
     }
 
-    /// Waits for the answer, and for the client to leave; reads ahead a little meanwhile.
+    /// Waits for the answer, and for the client to go: the end of what it sends is that, whatever else of it is not
+    /// read yet. Reads ahead a little meanwhile; past that the end is seen by the system's own notice of it.
     async fn answer(&mut self, mut reply: oneshot::Receiver<Reply>) -> io::Result<Reply> {
         let gone = || io::Error::from(io::ErrorKind::ConnectionAborted);
         loop {
-            let reads = !self.ended && self.buffer.len() < MOST_AHEAD;
+            let reads = self.buffer.len() < MOST_AHEAD;
+            // No urgent data is waited for: of that kind only the stream's end comes.
+            let interest = if reads { Interest::READABLE } else { Interest::PRIORITY };
             tokio::select! {
                 biased;
                 reply = &mut reply => return reply.map_err(|_| gone()),
-                read = self.stream.read_buf(&mut self.buffer), if reads => {
-                    // The end of what it sends is not yet its leaving: it may have closed one way only.
-                    self.ended = read? == 0;
+                ready = self.stream.ready(interest) => {
+                    if ready?.is_read_closed() {
+                        return Err(gone());
+                    }
+                    match self.stream.try_read_buf(&mut self.buffer) {
+                        Ok(0) => return Err(gone()),
+                        Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
+                        _ => {}
+                    }
                 }
             }
         }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -26,6 +26,8 @@
     Bytes(Bytes),
     /// These bytes after so long.
     After(Duration, Bytes),
+    /// These bytes, once the gate is open.
+    Gated(watch::Receiver<bool>, Bytes),
     /// What an agent holds of the list, at once or when there is news.
     List(ListCall),
     /// Nothing; the connection stays open.
@@ -155,6 +157,10 @@
             tokio::time::sleep(pause).await;
             stream.write_all(&bytes).await.is_ok()
         }
+        Reply::Gated(mut gate, bytes) => {
+            let opened = gate.wait_for(|open| *open).await.is_ok();
+            opened && stream.write_all(&bytes).await.is_ok()
+        }
         Reply::List(call) => match call.answer().await {
             Some(bytes) => stream.write_all(&bytes).await.is_ok(),
             None => true,
