A reload follows addresses only; another gatekeeper's configuration is refused whole

Cause: World::follow started the new watch with the new file's zones and times while module, names and limits stayed the old ones, so a list's zones were judged by settings that nothing else was judged by; a file of another gatekeeper was followed too. Change: addresses are followed; what else differs is named in the log and stays as it was until a restart; a file with another name is refused whole. Before: a keyed request that may have run in zone a was sent again in zone b (two attempts) after a file with one zone was loaded, and the other gatekeeper's discovery was asked; now neither.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -3,7 +3,7 @@
 use crate::common::{STOP_WITHIN, configuration};
 use crate::support::*;
 use std::time::Duration;
-use weirusher_standins::{Agent, Scripted, counting};
+use weirusher_standins::{Agent, Reply, Scripted, counting};
 
 #[tokio::test]
 async fn a_drained_worker_gets_nothing_new_and_a_new_one_at_its_address_no_old_connection() {
@@ -91,6 +91,69 @@
     tokio::time::timeout(LIMIT, moved).await.expect("the new counter is called");
 }
 
+/// Two zones, and a class whose repeats one zone alone knows of.
+fn two_zones(text: &str) -> String {
+    let keyed = r#"{"Name":"pay","Effect":"deduplicated","Group":"zone","Window":60.0,"Slo":2.0},{"Effect""#;
+    text.replace(r#""Dcs":["a"]"#, r#""Dcs":["a","b"]"#).replacen(r#"{"Effect""#, keyed, 1)
+}
+
+#[tokio::test]
+async fn a_new_configuration_moves_addresses_and_no_request_is_judged_by_its_settings() {
+    let site = Site::configured(2, 256, &[], |text| two_zones(&text)).await;
+    let zoned = |index| {
+        let text = list(
+            index,
+            &[("s-0", site.workers[0].address, "SERVING"), ("s-1", site.workers[1].address, "SERVING")],
+        );
+        let (first, second) = text.split_at(text.find("s-1").unwrap());
+        let at = |part: &str, zone: &str| part.replace(r#""zone":"a""#, &format!(r#""zone":"{zone}""#));
+        // An entry's zone stands behind its name.
+        format!("{}{}", at(first, "a"), at(second, "b"))
+    };
+    let discovery = Agent::start(ANYWHERE, 5, zoned(5)).await.unwrap();
+    let counter = Scripted::start(ANYWHERE, counting()).await.unwrap();
+    // Another deployment's settings: one zone, other classes and effects, the plans' figures the other way round.
+    let text = two_zones(&configuration(site.listen, discovery.address(), counter.address, 256));
+    let other = text
+        .replace(r#""Dcs":["a","b"]"#, r#""Dcs":["a"]"#)
+        .replace(r#""Name":"store""#, r#""Name":"keep""#)
+        .replace("at_most_once", "idempotent")
+        .replace(r#""Name":"iso""#, r#""Name":"tiny2""#)
+        .replace(r#""Name":"tiny""#, r#""Name":"iso""#);
+    assert_ne!(text, other);
+    site.reload(other).await;
+    tokio::time::timeout(LIMIT, discovery.taken(5)).await.expect("the new discovery is watched");
+    let mut client = site.client().await;
+    // The class and the plan are what they were at the start, and the plan's quota too.
+    for _ in 0..5 {
+        assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+    }
+    assert_eq!(client.ask(&store(&id(), "x")).await.unwrap().0, 200);
+    let unknown = store(&id(), "x").replace("X-Qos: store", "X-Qos: keep");
+    assert_eq!(site.client().await.ask(&unknown).await.unwrap().0, 400);
+    // What may have run in one zone is not repeated in the other, though the new file knows one zone only.
+    site.workers.iter().for_each(|worker| worker.set_script(|_| Reply::Break));
+    let paid = id();
+    let (status, ..) = client.ask(&store(&paid, "x").replace("X-Qos: store", "X-Qos: pay")).await.unwrap();
+    assert!(status >= 500 && status != 503, "{status}");
+    assert_eq!(site.tries(&paid), 1);
+}
+
+#[tokio::test]
+async fn a_configuration_of_another_gatekeeper_is_refused_whole() {
+    let site = Site::start(1).await;
+    let discovery = Agent::start(ANYWHERE, 5, list(5, &[])).await.unwrap();
+    let text = configuration(site.listen, discovery.address(), site.counter.address, 256);
+    site.reload(text.replace(r#""name":"n0""#, r#""name":"n1""#)).await;
+    // A second one, its own, is followed; the first was taken in before.
+    let own =
+        Agent::start(ANYWHERE, 7, list(7, &[("s-0", site.workers[0].address, "SERVING")])).await.unwrap();
+    site.reload(configuration(site.listen, own.address(), site.counter.address, 256)).await;
+    tokio::time::timeout(LIMIT, own.taken(7)).await.expect("its own is followed");
+    assert!(discovery.came().is_empty());
+    assert_eq!(site.client().await.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+}
+
 #[tokio::test]
 async fn a_known_list_that_cannot_be_used_keeps_nobody_from_starting() {
     let spoil = |text: String| text.replace(r#""endpoints":[]"#, r#""endpoints":7"#);
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -142,6 +142,17 @@
         nix::sys::signal::kill(id, signal).unwrap();
     }
 
+    /// Has a new configuration read. Once this returns it has been; what comes of it, comes.
+    pub async fn reload(&self, text: String) {
+        // A pipe: writing it through takes a reader.
+        std::fs::remove_file(&self.file).unwrap();
+        nix::unistd::mkfifo(&self.file, nix::sys::stat::Mode::S_IRWXU).unwrap();
+        self.signal(nix::sys::signal::Signal::SIGHUP);
+        let file = self.file.clone();
+        let written = tokio::task::spawn_blocking(move || std::fs::write(file, text).unwrap());
+        tokio::time::timeout(LIMIT, written).await.expect("it is read").unwrap();
+    }
+
     /// What of the workers' requests carried this id.
     pub fn tries(&self, id: &str) -> usize {
         let came = self.workers.iter().flat_map(Scripted::came);
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -44,10 +44,6 @@
         Rc::new(Self { hub, address, lines, wires, moved, told })
     }
 
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// The counter is elsewhere now: no call is taken any more, and what is out is waited for.
     pub fn moved(&self) {
         self.moved.set(true);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -116,23 +116,23 @@
 /// It cannot start.
 pub async fn run(file: &Path, fleet: Option<InFleet>) -> Result<usize, StartError> {
     let mut signals = Signals::new().map_err(StartError::Signals)?;
-    let config = read(file)?;
+    let mut config = read(file)?;
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| StartError::Listen(config.listen, e))?;
     let hub = hub(&config)?;
     if let Some(fleet) = fleet {
         fleet.start(&config).await?;
     }
-    let mut world = World::new(hub.clone(), &config);
-    match config.known {
+    tracing::info!(name = config.name, listen = %config.listen, ?hub.budget, "serving");
+    match std::mem::replace(&mut config.known, Ok(None)) {
         Ok(Some(known)) => hub.list(known),
         Ok(None) => {}
         Err(error) => tracing::warn!(%error, "the known list is not used; discovery is asked first"),
     }
+    let mut world = World::new(hub.clone(), config);
     spawn_local(timers(hub.clone()));
     spawn_local(idlers(hub.clone()));
     let accepting = spawn_local(client::listen(hub.clone(), listener));
-    tracing::info!(name = config.name, listen = %config.listen, ?hub.budget, "serving");
     loop {
         tokio::select! {
             _ = signals.reload.recv() => match read(file) {
@@ -169,17 +169,18 @@
 /// Where counter and discovery are, and who talks to them.
 struct World {
     hub: Rc<Hub>,
-    seed: u64,
-    discovery: SocketAddr,
+    /// As it was at the start, but for the addresses: requests under way, leases and the list's zones are judged by it.
+    config: Config,
     watch: AbortHandle,
     counter: Option<Rc<Counter>>,
 }
 
 impl World {
-    fn new(hub: Rc<Hub>, config: &Config) -> Self {
-        let watch = Self::watch(&hub, config);
-        let mut world = Self { hub, seed: config.seed, discovery: config.discovery, watch, counter: None };
-        world.call(config.counter);
+    fn new(hub: Rc<Hub>, config: Config) -> Self {
+        let watch = Self::watch(&hub, &config);
+        let counter = config.counter;
+        let mut world = Self { hub, config, watch, counter: None };
+        world.call(counter);
         world
     }
 
@@ -194,22 +195,31 @@
         if let Some(counter) = self.counter.take() {
             counter.moved();
         }
-        self.counter = address.map(|address| Counter::new(self.hub.clone(), address, self.seed));
+        self.counter = address.map(|address| Counter::new(self.hub.clone(), address, self.config.seed));
         if let Some(counter) = &self.counter {
             spawn_local(counter.clone().run());
         }
     }
 
-    /// Moves to the addresses of a new configuration.
-    fn follow(&mut self, config: &Config) {
-        tracing::info!(discovery = %config.discovery, counter = ?config.counter, "the configuration was read anew");
-        if config.counter != self.counter.as_ref().map(|counter| counter.address()) {
-            self.call(config.counter);
+    /// Moves to the addresses of a new configuration, and to nothing else of it; one of another gatekeeper is refused.
+    fn follow(&mut self, newer: &Config) {
+        let left = self.config.not_followed(newer);
+        if left.contains(&"name") {
+            tracing::warn!(name = newer.name, "a configuration of another gatekeeper: all stays as it was");
+            return;
+        }
+        if !left.is_empty() {
+            tracing::warn!(fields = ?left, "only addresses are followed; these stay as they were until a restart");
+        }
+        tracing::info!(discovery = %newer.discovery, counter = ?newer.counter, "the configuration was read anew");
+        if newer.counter != self.config.counter {
+            self.config.counter = newer.counter;
+            self.call(newer.counter);
         }
-        if config.discovery != self.discovery {
-            self.discovery = config.discovery;
+        if newer.discovery != self.config.discovery {
+            self.config.discovery = newer.discovery;
             self.watch.abort();
-            self.watch = Self::watch(&self.hub, config);
+            self.watch = Self::watch(&self.hub, &self.config);
         }
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -71,6 +71,22 @@
 }
 
 impl Config {
+    /// What of `newer` a gatekeeper that runs by `self` does not follow: it moves to other addresses of discovery and
+    /// the counter, and decides by the settings that it started with until its end. The seed is new in every file.
+    pub fn not_followed(&self, newer: &Self) -> Vec<&'static str> {
+        let (old, new) = (&self.site, &newer.site);
+        let same = [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("limits", self.limits == newer.limits),
+            ("settings.Dcs", old.zones == new.zones),
+            ("settings.Classes", old.classes == new.classes && old.settings.classes == new.settings.classes),
+            ("settings.Plans", old.plans == new.plans && old.settings.plans == new.settings.plans),
+            ("settings", old == new),
+        ];
+        same.into_iter().filter(|(_, same)| !same).map(|(field, _)| field).collect()
+    }
+
     /// Reads the file's text.
     ///
     /// # Errors
