A zone that the settings do not name passes for none of theirs

Cause: Endpoint::tell gave a worker in an unnamed zone the number 0, that of the first named one; a keyed request whose effect one zone alone knows of could then be repeated in another. Change: an unnamed zone has a number of its own past the named ones, from its name.

--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use weirusher::{Lifecycle, ListKind, Server, ServerId};
 
@@ -154,6 +155,17 @@
     (!text.is_empty() && text.len() <= MOST_NAME).then(|| text.into())
 }
 
+/// The number of a zone: its place in the settings, or one of its own past them. A zone that they do not name must not
+/// pass for another: what may have run in it would be repeated there.
+fn zone(zones: &[String], name: &str) -> u32 {
+    let unnamed = || {
+        let mut hasher = DefaultHasher::new();
+        name.hash(&mut hasher);
+        hasher.finish() as u32 | 1 << 31
+    };
+    zones.iter().position(|zone| zone == name).map_or_else(unnamed, |place| place as u32)
+}
+
 impl Endpoint {
     fn read(entry: Value) -> Result<Self, String> {
         let endpoint: Self = serde_json::from_value(entry).map_err(|error| error.to_string())?;
@@ -174,7 +186,7 @@
         }
         told.servers.push(Server {
             id: name.clone(),
-            zone: zones.iter().position(|z| *z == self.zone).unwrap_or(0) as u32,
+            zone: zone(zones, &self.zone),
             cell: self.group,
             started: self.since_ms / 1e3,
             lifecycle,
--- a/crates/platform/tests/parsers.rs
+++ b/crates/platform/tests/parsers.rs
@@ -49,6 +49,18 @@
     assert_eq!(self::read(ready), Ok(Asked::Ready));
 }
 
+#[test]
+fn a_zone_that_the_settings_do_not_name_is_none_of_theirs() {
+    let zones = ["a", "b", "c", "c", "a", ""];
+    let entry = |(n, zone): (usize, &&str)| json!({"name": format!("s-{n}"), "address": "127.0.0.1:1", "zone": zone, "status": "SERVING"});
+    let endpoints: Vec<_> = zones.iter().enumerate().map(entry).collect();
+    let list = json!({"index": 1, "snapshot": true, "endpoints": endpoints}).to_string();
+    let told = Held::new(vec!["a".into(), "b".into()]).take(list.as_bytes()).unwrap().unwrap();
+    let found: Vec<u32> = told.servers.iter().map(|server| server.zone).collect();
+    assert_eq!((found[0], found[1], found[4]), (0, 1, 0));
+    assert!(found[2] == found[3] && found[2] > 1 && found[5] > 1 && found[2] != found[5], "{found:?}");
+}
+
 #[test]
 fn what_is_wrong_is_an_error_with_its_status() {
     for (from, to, status) in [
