A repeat begins within its class's window or not at all, however late its connection

Cause: the module checked a keyed class's window as it chose a server (anchor in src/logic.rs); the repeat's bytes went out once its connection was up, up to the connect timeout later, and a slow body later still. An attempt counts once its last byte has come, so it could be a second effect. Change: Action::Send says within how long its last byte must be on its way (no limit for first attempts and safe classes); the node gives up a connection, or a write, that takes longer.

--- a/crates/cli/tests/node/workers.rs
+++ b/crates/cli/tests/node/workers.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
+use tokio::sync::watch;
 use weirusher_standins::{Reply, frame};
 use weirusher_wire::http1::Request;
 
@@ -129,6 +130,46 @@
     assert!(!came.is_finished(), "nothing came at the one that leaves");
 }
 
+/// Seconds for which a keyed request's group knows that it has run.
+const WINDOW: f64 = 2.0;
+
+#[tokio::test]
+async fn a_repeat_whose_connection_comes_up_once_its_window_is_over_is_not_made() {
+    let (late, waiting) = late_worker();
+    let address = late.local_addr().unwrap();
+    let keyed = format!(
+        r#"{{"Name":"pay","Effect":"deduplicated","Group":"zone","Window":{WINDOW},"Slo":20.0}},{{"Effect""#
+    );
+    let site = Site::configured(1, 256, &[], |text| text.replacen(r#"{"Effect""#, &keyed, 1)).await;
+    // The first attempt may have run; the other worker is there from then on, and its connection is long in coming.
+    let (open, gate) = watch::channel(false);
+    site.workers[0].set_script(move |_| Reply::Gated(gate.clone(), frame(500, "", "")));
+    let (paid, mut client) = (id(), site.client().await);
+    let sent = std::time::Instant::now();
+    client.send(&store(&paid, "x").replace("X-Qos: store", "X-Qos: pay").replace("3000m", "20000m")).await;
+    site.workers[0].wait_for(1).await;
+    let own = site.workers[0].address;
+    site.discovery.tell(3, list(3, &[("s-0", own, "SERVING"), ("s-late", address, "SERVING")]));
+    site.discovery.taken(3).await;
+    open.send(true).unwrap();
+    assert!(sent.elapsed().as_secs_f64() < WINDOW, "the repeat is decided on within its window");
+    tokio::time::sleep(Duration::from_secs_f64(WINDOW)).await;
+    drop(waiting);
+    let came = async {
+        loop {
+            let (mut stream, _) = late.accept().await.unwrap();
+            let mut bytes = [0; 64];
+            if matches!(stream.read(&mut bytes).await, Ok(1..)) {
+                return String::from_utf8_lossy(&bytes).into_owned();
+            }
+        }
+    };
+    tokio::select! {
+        answer = client.answer() => assert!(answer.unwrap().0 >= 500, "it may have run"),
+        bytes = came => panic!("an effect twice: {bytes}"),
+    }
+}
+
 #[tokio::test]
 async fn a_counter_whose_answers_cannot_be_read_keeps_nobody_waiting() {
     let site = Site::start(1).await;
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -64,6 +64,8 @@
         server: ServerId,
         /// Seconds until it is given up.
         timeout: f64,
+        /// Seconds within which its last byte must be on its way; else it must not begin, or break off.
+        within: f64,
     },
     /// Give an attempt up: its connection must close. Its end has been told already.
     Abort {
@@ -336,7 +338,7 @@
 
     fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Send { job, server, timeout } => self.begin(now, job, server, timeout),
+            Action::Send { job, server, timeout, within } => self.begin(now, job, server, timeout, within),
             Action::Refuse { job, retry_after } => self.decided(job, Final::Refused { retry_after }),
             Action::Fail { job } => self.decided(job, Final::Failed),
             Action::Cancel { job, attempt } => self.call_off(now, &job, attempt),
@@ -346,14 +348,14 @@
         }
     }
 
-    fn begin(&mut self, now: Time, job: JobId, server: ServerId, timeout: f64) {
+    fn begin(&mut self, now: Time, job: JobId, server: ServerId, timeout: f64, within: f64) {
         let Some(entry) = self.ledger.get_mut(&job) else { return };
         let attempt = entry.attempts.len() as u32;
         let limit = Some(self.seat.wheel.set(now + timeout, Due::Attempt(job.clone(), attempt)));
         entry.attempts.push(Attempt { server: server.clone(), sent: now, limit });
         entry.out += 1;
         self.tally.attempts += 1;
-        self.outputs.push(RelayOutput::Send { job, attempt, server, timeout });
+        self.outputs.push(RelayOutput::Send { job, attempt, server, timeout, within });
     }
 
     fn decided(&mut self, job: JobId, verdict: Final) {
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -199,8 +199,8 @@
         let (mut called, mut turned_away) = (false, Vec::new());
         for output in outputs.drain(..) {
             match output {
-                RelayOutput::Send { job, attempt, server, timeout } => {
-                    self.begin(state, job, attempt, server, timeout);
+                RelayOutput::Send { job, attempt, server, timeout, within } => {
+                    self.begin(state, job, attempt, server, (timeout, within));
                 }
                 RelayOutput::Abort { job, attempt } => {
                     if let Some(underway) = state.attempts.remove(&(job, attempt)) {
@@ -237,7 +237,14 @@
         self.pump();
     }
 
-    fn begin(self: &Rc<Self>, state: &mut State, job: JobId, attempt: u32, server: ServerId, timeout: f64) {
+    fn begin(
+        self: &Rc<Self>,
+        state: &mut State,
+        job: JobId,
+        attempt: u32,
+        server: ServerId,
+        limits: (f64, f64),
+    ) {
         let Some(passed) = state.waiting.get(&job).map(|w| w.passed.clone()) else { return };
         let address = state.addresses.get(&server).copied();
         let (begun, at) = (Rc::new(Cell::new(false)), server.clone());
@@ -246,7 +253,8 @@
             attempt,
             server,
             address,
-            timeout,
+            timeout: limits.0,
+            within: limits.1,
             passed,
             begun: begun.clone(),
         };
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -28,6 +28,8 @@
     pub server: ServerId,
     pub address: Option<SocketAddr>,
     pub timeout: f64,
+    /// Seconds within which its last byte must be on its way: past that its effect would come twice.
+    pub within: f64,
     pub passed: Rc<Passed>,
     /// Set as its first byte is written.
     pub begun: Rc<Cell<bool>>,
@@ -75,16 +77,23 @@
 async fn exchange(hub: &Rc<Hub>, attempt: &Attempt, place: Place) -> (Status, Load, Bytes) {
     let nothing = |status| (status, Load::default(), Bytes::new());
     let began = hub.now();
-    let mut lease = match connection(hub, &place).await {
+    let mut lease = match connection(hub, &place, attempt.within).await {
         Ok(lease) => lease,
         Err(status) => return nothing(status),
     };
     let Some(stream) = lease.stream.as_mut() else { return nothing(Status::Moot) };
     let mut buffer = BytesMut::with_capacity(FIRST_READ);
     attempt.passed.write_head(&mut buffer, attempt.timeout - (hub.now() - began));
+    let left = attempt.within - (hub.now() - began);
+    if left <= 0.0 {
+        return nothing(Status::Moot);
+    }
     attempt.begun.set(true);
-    if write(stream, &mut buffer, attempt.passed.body()).await.is_err() {
-        return nothing(Status::ConnectFailed);
+    match tokio::time::timeout(limit(left), write(stream, &mut buffer, attempt.passed.body())).await {
+        Ok(Ok(())) => {}
+        Ok(Err(_)) => return nothing(Status::ConnectFailed),
+        // Broken off before its last byte: it does not run.
+        Err(_) => return nothing(Status::Moot),
     }
     buffer.clear();
     match read(stream, &mut buffer).await {
@@ -100,8 +109,13 @@
     }
 }
 
-/// A connection that is surely empty, from the pool, or a new one.
-async fn connection(hub: &Rc<Hub>, place: &Place) -> Result<Lease, Status> {
+/// Seconds as a limit; none that a timer can hold is longer than a day.
+fn limit(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, 86_400.0))
+}
+
+/// A connection that is surely empty, from the pool, or a new one that comes up `within` so many seconds.
+async fn connection(hub: &Rc<Hub>, place: &Place, within: f64) -> Result<Lease, Status> {
     loop {
         let pooled = hub.state.borrow_mut().pool.take(hub.now(), place);
         let Some(stream) = pooled else { break };
@@ -116,9 +130,13 @@
         return Err(Status::Moot);
     }
     let mut lease = Lease::new(hub, None);
-    let limit = Duration::from_secs_f64(hub.connect_timeout);
-    let connected = tokio::time::timeout(limit, TcpStream::connect(place.1)).await;
-    let Ok(Ok(stream)) = connected else { return Err(Status::ConnectFailed) };
+    let limit = limit(within.min(hub.connect_timeout));
+    let stream = match tokio::time::timeout(limit, TcpStream::connect(place.1)).await {
+        Ok(Ok(stream)) => stream,
+        // Its time was cut short by what it carries: that tells nothing of the server.
+        Err(_) if within < hub.connect_timeout => return Err(Status::Moot),
+        _ => return Err(Status::ConnectFailed),
+    };
     let _ = stream.set_nodelay(true); // Without it attempts are merely slower.
     lease.stream = Some(stream);
     Ok(lease)
--- a/examples/trace.rs
+++ b/examples/trace.rs
@@ -47,7 +47,7 @@
         self.actions += 1;
         self.digest.write(format!("{action:?}").as_bytes());
         match action {
-            Action::Send { job, server, timeout } => {
+            Action::Send { job, server, timeout, .. } => {
                 let drawn = self.rng.f64();
                 let work = 0.02 + 0.1 * drawn * drawn;
                 let (status, spent) = match self.rng.u32(..100) {
--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -153,7 +153,7 @@
 
 fn reply(action: Action) -> Value {
     match action {
-        Action::Send { job, server, timeout } => json!(["PLACE", &*job, timeout, &*server]),
+        Action::Send { job, server, timeout, .. } => json!(["PLACE", &*job, timeout, &*server]),
         Action::Refuse { job, retry_after } => json!(["PUSH_BACK", &*job, retry_after]),
         Action::Fail { job } => json!(["SURRENDER", &*job]),
         Action::Cancel { job, attempt } => json!(["REVOKE", &*job, attempt]),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -364,6 +364,9 @@
         server: ServerId,
         /// Seconds until it is given up.
         timeout: f64,
+        /// Seconds within which its last byte must be on its way, or it must not begin: past that, the earlier
+        /// attempt is forgotten and the effect would come twice. Infinity: no matter when.
+        within: f64,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -490,10 +490,9 @@
     }
 
     /// The server that should answer first, among those this job may go to; `None`: all are full.
-    fn choose(&mut self, job: &Job) -> Option<usize> {
-        let anchor = self.anchor(job)?;
-        let mut best: Option<(f64, usize)> = None;
-        let count = self.names.len();
+    fn choose(&mut self, job: &Job) -> Option<(usize, f64)> {
+        let (within, anchor) = self.anchor(job)?;
+        let (mut best, count): (Option<(f64, usize)>, _) = (None, self.names.len());
         let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
         let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
         for i in 0..count {
@@ -521,7 +520,7 @@
                 best = Some((score, at));
             }
         }
-        best.map(|(_, at)| at)
+        best.map(|(_, at)| (at, within))
     }
 
     /// How full a server is: slower ones are sent less, by news that fades; those known as quick are not told
@@ -538,18 +537,19 @@
         out * (excess * (-age).exp() + 1.0)
     }
 
-    /// Rule 2: `None`: no further attempt may go out; `Some(None)`: anywhere; else only to that group.
-    fn anchor(&self, job: &Job) -> Option<Option<(Group, u32, u32)>> {
+    /// Rule 2: `None`: no further attempt may go out; else within how long, and where: `None`: anywhere.
+    fn anchor(&self, job: &Job) -> Option<(f64, Option<(Group, u32, u32)>)> {
+        let anywhere = Some((f64::INFINITY, None));
         if job.out() > 0 && !self.set.second_copies {
             return None;
         }
-        let Some(first) = job.attempts.iter().find(|a| a.ran != Ran::Never) else { return Some(None) };
+        let Some(first) = job.attempts.iter().find(|a| a.ran != Ran::Never) else { return anywhere };
         match self.set.classes[job.request.class].effect {
-            Effect::Safe => Some(None),
+            Effect::Safe => anywhere,
             Effect::Unsafe => None,
             Effect::Keyed { group, window } => {
-                let host = &self.hosts[first.host];
-                (self.now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
+                let (host, within) = (&self.hosts[first.host], first.sent + window - self.now);
+                (within > 0.0).then_some((within, Some((group, host.zone, host.cell))))
             }
         }
     }
@@ -950,7 +950,7 @@
         let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
         let tries = job.attempts.len() < self.set.max_attempts as usize;
         let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
-        if let Some(place) = server {
+        if let Some((place, within)) = server {
             let host = &mut self.hosts[place];
             let server = host.id.clone();
             host.inflight += 1.0;
@@ -960,7 +960,7 @@
                 customer.open += 1;
             }
             note_demand(&mut self.sent_units, self.now, job.request.units, RATE_MEMORY);
-            self.out.push(Action::Send { job: id.clone(), server, timeout });
+            self.out.push(Action::Send { job: id.clone(), server, timeout, within });
             job.attempts.push(Attempt { host: place, sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.latency);
             if self.set.second_copies && delay < timeout {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -31,7 +31,7 @@
     fn check(&mut self, now: Time, unsafe_class: bool, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Send { job, server, timeout } => {
+                Action::Send { job, server, timeout, .. } => {
                     assert!(!self.ended.contains(job), "sent after its end");
                     assert!(!self.stopped.contains(server), "sent to a server that drains or is gone");
                     let attempts = self.attempts.entry(job.clone()).or_default();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -70,8 +70,16 @@
     rig.list(ListKind::Stale, list);
     let zone = |id: &ServerId| usize::from(id.as_ref() >= "c");
     let (_, first) = sends(&rig.ask("j")).remove(0);
+    rig.now += 0.4;
     let (_, second) = sends(&rig.outcome("j", 0, &first, Status::Error)).remove(0);
     assert_eq!(zone(&first), zone(&second), "only the group discards the repeat");
+    let within = |action: &Action| match action {
+        Action::Send { within, .. } => Some(*within),
+        _ => None,
+    };
+    let within: Vec<f64> = rig.actions.iter().filter_map(within).collect();
+    assert_eq!(within[0], f64::INFINITY, "a first attempt is no repeat");
+    assert!((within[1] - 0.6).abs() < 1e-9, "one that is begun later is a new one to its group: {within:?}");
     rig.now += 2.0;
     let out = rig.outcome("j", 1, &second, Status::Error);
     assert_eq!((sends(&out).len(), refused(&out), failed(&out)), (0, 0, 1), "the group has forgotten it");
