--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -25,21 +25,6 @@
     assert_eq!(site.workers[0].connections(), before + 1, "a connection of its own");
 }
 
-/// Asks again and again while the agent tells that `s-0` leaves, which counts from `told` on, and gives the seconds
-/// after that in which the last request came to it.
-async fn last_at_a_leaving_worker(site: &Site, agent: &Agent) -> f64 {
-    let serving: Vec<_> = site.workers.iter().map(|worker| worker.address).collect();
-    agent.tell(3, list(3, &[("s-0", serving[0], "DRAINING"), ("s-1", serving[1], "SERVING")]));
-    agent.come_back();
-    let told = std::time::Instant::now();
-    let mut client = site.client().await;
-    while told.elapsed().as_secs_f64() < 3.5 * STOP_WITHIN {
-        assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    site.workers[0].came().last().map_or(0.0, |last| last.at.saturating_duration_since(told).as_secs_f64())
-}
-
 #[tokio::test]
 async fn a_drain_that_a_silent_agent_has_at_its_return_is_kept_whatever_was_asked_meanwhile() {
     // It moves to an agent that is silent as it is first asked: that call is never answered.
--- a/crates/cli/tests/node/limits.rs
+++ b/crates/cli/tests/node/limits.rs
@@ -1,5 +1,6 @@
 //! Limits of the platform: descriptors, one process, what the deploy file starts.
 
+use crate::common::STOP_WITHIN;
 use crate::support::*;
 use object::Endianness;
 use object::elf::DT_NEEDED;
@@ -18,6 +19,31 @@
     assert_eq!(site.client().await.ask(&request(&id(), "iso", 10_000)).await.unwrap().0, 200);
 }
 
+/// Clients that ask once and keep their connections, more than it has descriptors for: each is answered in its time.
+async fn idle_clients(site: &Site, many: usize) -> Vec<Client> {
+    let patience = Duration::from_millis(1500);
+    let mut idle = Vec::new();
+    for nth in 0..many {
+        let mut client = site.client().await;
+        let asked = request(&id(), "iso", patience.as_millis() as u64);
+        let answer = tokio::time::timeout(patience, client.ask(&asked)).await;
+        assert_eq!(answer.unwrap_or_else(|_| panic!("client {nth} waits past its time")).unwrap().0, 200);
+        idle.push(client);
+    }
+    idle
+}
+
+#[tokio::test]
+async fn idle_clients_fill_the_descriptors_while_discovery_is_down_and_its_news_are_kept() {
+    let site = Site::with(2, 64, &[]).await;
+    site.discovery.fall_silent();
+    let idle = idle_clients(&site, 34).await;
+    // No descriptor is missing for the calls that are made anew, nor for whoever asks meanwhile.
+    let last = last_at_a_leaving_worker(&site, &site.discovery).await;
+    assert!(last <= STOP_WITHIN, "{last} s after it was told");
+    assert_eq!(idle.len(), 34);
+}
+
 #[tokio::test]
 async fn under_load_it_is_one_process_whose_sockets_are_tcp_over_ipv4() {
     let site = Site::start(2).await;
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -1,6 +1,6 @@
 //! A gatekeeper as a process between scripted parties, and its clients.
 
-use crate::common::configuration;
+use crate::common::{STOP_WITHIN, configuration};
 use serde_json::json;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -241,3 +241,18 @@
     assert!(waiting.len() < 16, "its backlog has an end");
     (listener, waiting)
 }
+
+/// Asks again and again while the agent tells that `s-0` leaves, which counts from `told` on, and gives the seconds
+/// after that in which the last request came to it.
+pub async fn last_at_a_leaving_worker(site: &Site, agent: &Agent) -> f64 {
+    let serving: Vec<_> = site.workers.iter().map(|worker| worker.address).collect();
+    agent.tell(3, list(3, &[("s-0", serving[0], "DRAINING"), ("s-1", serving[1], "SERVING")]));
+    agent.come_back();
+    let told = std::time::Instant::now();
+    let mut client = site.client().await;
+    while told.elapsed().as_secs_f64() < 3.5 * STOP_WITHIN {
+        assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    site.workers[0].came().last().map_or(0.0, |last| last.at.saturating_duration_since(told).as_secs_f64())
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,7 +29,7 @@
 pub use pool::{Pool, Room};
 pub use relay::{Arrival, Final, Relay, RelayOutput, RelayTally};
 pub use seat::Ask;
-pub use seats::{SeatId, Seats};
+pub use seats::{FIRST_REQUEST, SeatId, Seats};
 pub use ticket::{Gate, Key, Keyring, Ticket, TicketError, TurnedAway};
 pub use watch::{LineId, ListWatch, WatchStep, WatchTerms};
 pub use wheel::{TimerKey, Wheel};
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -10,6 +10,9 @@
 /// Seconds after which a connection with no open request may give way, and after which it is let go.
 const IDLE_GRACE: f64 = 2.0;
 const IDLE_MOST: f64 = 20.0;
+/// The same where nobody else can give way, as idle ones fill all seats: whoever comes waits unseen meanwhile, and a
+/// client whose kept connection is closed between requests sends its next on a new one.
+const CROWDED_GRACE: f64 = 0.25;
 /// The part of all seats that is cleared at once when none is free.
 const GIVE_WAY: usize = 8;
 
@@ -34,6 +37,8 @@
     seated: BTreeMap<SeatId, (Use, u64)>,
     /// Those that may give way, in the order in which they do.
     spare: BTreeSet<(Use, u64, SeatId)>,
+    /// Those that were named, and did not leave yet.
+    named: usize,
 }
 
 /// A connection's moment, so that it can be ordered: microseconds.
@@ -44,7 +49,7 @@
 impl Seats {
     /// At most `most` connections.
     pub fn new(most: usize) -> Self {
-        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new() }
+        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new(), named: 0 }
     }
 
     /// How many are seated.
@@ -80,7 +85,8 @@
     /// It is closed.
     pub fn leave(&mut self, id: SeatId) {
         if let Some((kind, since)) = self.seated.remove(&id) {
-            self.spare.remove(&(kind, since, id));
+            let named = !self.spare.remove(&(kind, since, id)) && kind != Use::Busy;
+            self.named -= usize::from(named);
         }
     }
 
@@ -93,10 +99,11 @@
                 gone.push(id);
             }
         }
+        let grace = self.idle_grace();
         // Several at once: where hundreds wait that say nothing, those that ask must not wait behind each.
         while !self.free() && gone.len() < self.most.div_ceil(GIVE_WAY) {
             let fresh = self.longest(Use::Fresh, now - FRESH_GRACE);
-            let Some(id) = fresh.or_else(|| self.longest(Use::Idle, now - IDLE_GRACE)) else { break };
+            let Some(id) = fresh.or_else(|| self.longest(Use::Idle, now - grace)) else { break };
             gone.push(id);
         }
         gone
@@ -106,6 +113,7 @@
     /// its time: the rest is on its way.
     pub fn unused(&mut self) -> Vec<SeatId> {
         let idle = self.spare.split_off(&(Use::Idle, 0, 0));
+        self.named += idle.len();
         idle.into_iter().map(|(_, _, id)| id).collect()
     }
 
@@ -115,10 +123,18 @@
             let (_, since, _) = self.spare.range((kind, 0, 0)..).next().filter(|s| s.0 == kind)?;
             Some(*since as f64 / 1e6 + stay)
         };
-        let (fresh, idle) = if self.free() { (FIRST_REQUEST, IDLE_MOST) } else { (FRESH_GRACE, IDLE_GRACE) };
+        let (fresh, idle) =
+            if self.free() { (FIRST_REQUEST, IDLE_MOST) } else { (FRESH_GRACE, self.idle_grace()) };
         first(Use::Fresh, fresh).into_iter().chain(first(Use::Idle, idle)).reduce(f64::min)
     }
 
+    /// How long an idle one stays where all seats are taken: who says nothing gives way before it, and who was named
+    /// makes room.
+    fn idle_grace(&self) -> f64 {
+        let silent = self.spare.first().is_some_and(|(kind, ..)| *kind == Use::Fresh);
+        if silent || self.named > 0 { IDLE_GRACE } else { CROWDED_GRACE }
+    }
+
     fn place(&mut self, now: Time, id: SeatId, kind: Use) {
         self.leave(id);
         let since = micros(now);
@@ -135,60 +151,7 @@
             return None;
         }
         self.spare.remove(&found);
+        self.named += 1;
         Some(found.2)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn the_longest_useless_gives_way_and_an_open_request_never() {
-        let mut seats = Seats::new(4);
-        for (at, id) in [(9.0, 1), (9.1, 2), (9.2, 3), (9.3, 4)] {
-            seats.sit(at, id);
-        }
-        seats.busy(9.3, 1);
-        seats.idle(9.3, 2);
-        assert!(!seats.free());
-        assert_eq!(seats.overdue(9.44), [0u64; 0], "its request may be on its way");
-        assert_eq!(seats.next_overdue(), Some(9.45));
-        assert_eq!(seats.overdue(9.45), [3], "before an idle one");
-        seats.leave(3);
-        assert!(seats.free());
-        seats.sit(9.5, 5);
-        assert_eq!(seats.overdue(9.8), [4]);
-        assert_eq!(seats.overdue(9.8), [5], "none is named twice");
-        assert_eq!(seats.overdue(11.31), [2], "idle for two seconds");
-        assert_eq!(seats.overdue(1e6), [0u64; 0], "the busy one stays");
-    }
-
-    #[test]
-    fn at_the_end_the_idle_go_and_the_new_keep_their_time() {
-        let mut seats = Seats::new(4);
-        (1..=3).for_each(|id| seats.sit(1.0, id));
-        seats.idle(1.5, 2);
-        seats.busy(1.5, 3);
-        assert_eq!(seats.unused(), [2]);
-        assert_eq!(seats.unused(), [0u64; 0], "none is named twice");
-        assert_eq!(seats.overdue(1.0 + FIRST_REQUEST), [1]);
-    }
-
-    #[test]
-    fn one_that_says_nothing_is_let_go_though_seats_are_free() {
-        let mut seats = Seats::new(4);
-        seats.sit(1.0, 1);
-        assert_eq!(seats.next_overdue(), Some(1.0 + FIRST_REQUEST));
-        assert_eq!(seats.overdue(1.0 + FIRST_REQUEST), [1]);
-        seats.leave(1);
-        assert_eq!((seats.len(), seats.next_overdue()), (0, None));
-    }
-
-    #[test]
-    fn where_hundreds_say_nothing_several_give_way_at_once() {
-        let mut seats = Seats::new(80);
-        (0..80).for_each(|id| seats.sit(100.0, id));
-        assert_eq!(seats.overdue(101.0).len(), 10);
-    }
-}
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -258,7 +258,14 @@
     async fn request(&mut self, demand: Demand, passed: Passed) -> io::Result<bool> {
         let hub = self.seat.hub.clone();
         let Demand { job, customer, class, plan, units, spread, patience, repeat, closes, .. } = demand;
-        hub.state.borrow_mut().seats.busy(hub.now(), self.seat.id);
+        {
+            let state = &mut *hub.state.borrow_mut();
+            state.seats.busy(hub.now(), self.seat.id);
+            if !state.seats.free() {
+                // One that was to give way may be it: another has to.
+                hub.idlers.set(state.seats.next_overdue());
+            }
+        }
         let arrival = Arrival { job: job.clone(), customer, plan, class, units, patience, spread, repeat };
         let Some(reply) = hub.request(arrival, passed) else {
             self.turn_down(BadRequest::Doubled).await?;
