Where a repeat may go is one group of the module, all of them where anywhere

Need: clippy held the type of anchor in src/logic.rs for too complex since the repeat's limit came in.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -2,7 +2,6 @@
 
 use crate::common::{STOP_WITHIN, configuration};
 use crate::support::*;
-use std::time::Duration;
 use weirusher_standins::{Agent, Reply, Scripted, counting};
 
 #[tokio::test]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -491,7 +491,7 @@
 
     /// The server that should answer first, among those this job may go to; `None`: all are full.
     fn choose(&mut self, job: &Job) -> Option<(usize, f64)> {
-        let (within, anchor) = self.anchor(job)?;
+        let (within, group, zone, cell) = self.anchor(job)?;
         let (mut best, count): (Option<(f64, usize)>, _) = (None, self.names.len());
         let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
         let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
@@ -507,11 +507,11 @@
             if 1.0 + host.inflight >= least {
                 continue;
             }
-            let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
+            let in_group = match group {
                 Group::All => true,
                 Group::Zone => host.zone == zone,
                 Group::Cell => host.cell == cell && host.zone == zone,
-            });
+            };
             if self.now < host.out_until || !in_group || job.attempts.iter().any(|a| a.host == at) {
                 continue;
             }
@@ -537,9 +537,9 @@
         out * (excess * (-age).exp() + 1.0)
     }
 
-    /// Rule 2: `None`: no further attempt may go out; else within how long, and where: `None`: anywhere.
-    fn anchor(&self, job: &Job) -> Option<(f64, Option<(Group, u32, u32)>)> {
-        let anywhere = Some((f64::INFINITY, None));
+    /// Rule 2: `None`: no further attempt may go out; else within how long, and in which group.
+    fn anchor(&self, job: &Job) -> Option<(f64, Group, u32, u32)> {
+        let anywhere = Some((f64::INFINITY, Group::All, 0, 0));
         if job.out() > 0 && !self.set.second_copies {
             return None;
         }
@@ -549,7 +549,7 @@
             Effect::Unsafe => None,
             Effect::Keyed { group, window } => {
                 let (host, within) = (&self.hosts[first.host], first.sent + window - self.now);
-                (within > 0.0).then_some((within, Some((group, host.zone, host.cell))))
+                (within > 0.0).then_some((within, group, host.zone, host.cell))
             }
         }
     }
