A worker's connection rests once it has answered: a late second answer serves nobody

Cause: Pool::take gave out the connection that had answered last, at once. Two tests that asked back to back and count connections wait out the rest between requests, as the reuse they check begins then; their counts are unchanged. Result: a test of the process with the second answer 5 ms late; without the rest request 2 got "done 1".

--- a/crates/cli/tests/node/clients.rs
+++ b/crates/cli/tests/node/clients.rs
@@ -15,6 +15,7 @@
         let (status, _, body) = client.ask(&request(&id, "iso", 3000)).await.unwrap();
         assert_eq!((status, body), (200, format!("done {id}")));
         assert_eq!(site.tries(&id), 1);
+        tokio::time::sleep(RESTED).await;
     }
     let id = id();
     assert_eq!(client.ask(&store(&id, "essay")).await.unwrap().0, 200);
--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -10,6 +10,7 @@
     let mut client = site.client().await;
     for _ in 0..8 {
         assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+        tokio::time::sleep(RESTED).await;
     }
     let before = site.workers[0].connections();
     // Told by the watch that is out: the old worker is gone, a new one stands at its address.
@@ -19,6 +20,7 @@
     let drained = site.workers[1].came().len();
     for _ in 0..8 {
         assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+        tokio::time::sleep(RESTED).await;
     }
     assert_eq!(site.workers[1].came().len(), drained, "nothing new");
     assert_eq!(site.workers[0].connections(), before + 1, "a connection of its own");
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -14,6 +14,8 @@
 use weirusher_wire::http1::Request;
 
 pub const ANYWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+/// Longer than a connection to a worker rests once it has answered.
+pub const RESTED: Duration = Duration::from_millis(40);
 /// A generous limit for whatever must come about.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
--- a/crates/cli/tests/node/workers.rs
+++ b/crates/cli/tests/node/workers.rs
@@ -82,6 +82,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_second_answer_some_milliseconds_late_serves_nobody() {
+    let site = Site::start(1).await;
+    site.workers[0].set_script(|request| match echo(request) {
+        Reply::Bytes(bytes) => Reply::Twice(Duration::from_millis(5), bytes),
+        other => other,
+    });
+    let mut client = site.client().await;
+    // Each comes as soon as the one before is answered: its second answer is still on its way.
+    for _ in 0..20 {
+        let id = id();
+        assert_eq!(client.ask(&request(&id, "iso", 3000)).await.unwrap().2, format!("done {id}"));
+    }
+}
+
 #[tokio::test]
 async fn a_worker_that_turns_away_is_no_answer_and_another_is_asked() {
     let site = Site::start(2).await;
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -26,6 +26,8 @@
     Bytes(Bytes),
     /// These bytes after so long.
     After(Duration, Bytes),
+    /// These bytes, and the same again after so long.
+    Twice(Duration, Bytes),
     /// These bytes, once the gate is open.
     Gated(watch::Receiver<bool>, Bytes),
     /// What an agent holds of the list, at once or when there is news.
@@ -157,6 +159,11 @@
             tokio::time::sleep(pause).await;
             stream.write_all(&bytes).await.is_ok()
         }
+        Reply::Twice(pause, bytes) => {
+            let once = stream.write_all(&bytes).await.is_ok();
+            tokio::time::sleep(pause).await;
+            once && stream.write_all(&bytes).await.is_ok()
+        }
         Reply::Gated(mut gate, bytes) => {
             let opened = gate.wait_for(|open| *open).await.is_ok();
             opened && stream.write_all(&bytes).await.is_ok()
