A process that was kept from running reads its list before it sends what waited

Cause: a process that was stopped and wakes finds requests and a drain in its sockets; worker::exchange wrote the requests as soon as their tasks ran, also to the worker that had been told to leave long before. Change: while discovery was not heard of within the watch's bound, an attempt waits 2 ms before it connects or writes; the list that is read meanwhile calls it back where its worker leaves. The same holds for a new process that has only the known list, and for each attempt while discovery is silent. TCP_NODELAY on discovery's connections too. Result: a test of the process (SIGSTOP, drain and requests in both orders, SIGCONT after StopSendingWithin): before, a request went to the leaving worker where the drain came behind the requests; now none.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::common::{STOP_WITHIN, configuration};
 use crate::support::*;
+use std::time::Duration;
 use weirusher_standins::{Agent, Reply, Scripted, counting};
 
 #[tokio::test]
@@ -147,3 +148,41 @@
     assert!(std::fs::read_to_string(&site.file).unwrap().contains(r#""endpoints":7"#));
     assert_eq!(site.client().await.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
 }
+
+#[tokio::test]
+async fn a_process_that_was_stopped_reads_its_list_before_it_sends_what_waited() {
+    use nix::sys::signal::Signal;
+    // The requests wait in its sockets before the drain does, and behind it.
+    for told_first in [false, true] {
+        let site = Site::start(2).await;
+        let mut clients = Vec::new();
+        for _ in 0..4 {
+            let mut client = site.client().await;
+            assert_eq!(client.ask(&request(&id(), "iso", 60_000)).await.unwrap().0, 200);
+            clients.push(client);
+        }
+        let own: Vec<_> = site.workers.iter().map(|worker| worker.address).collect();
+        let drained = list(3, &[("s-0", own[0], "DRAINING"), ("s-1", own[1], "SERVING")]);
+        let before = site.workers[0].came().len();
+        site.signal(Signal::SIGSTOP);
+        site.stopped().await;
+        if told_first {
+            site.discovery.tell(3, drained.clone());
+        }
+        for client in &mut clients {
+            client.send(&request(&id(), "iso", 60_000)).await;
+        }
+        if !told_first {
+            site.discovery.tell(3, drained);
+        }
+        tokio::time::sleep(Duration::from_secs_f64(STOP_WITHIN)).await;
+        site.signal(Signal::SIGCONT);
+        let mut served = 0;
+        for client in &mut clients {
+            // So many at once may find no room at one worker.
+            served += u32::from(client.answer().await.expect("an answer").0 == 200);
+        }
+        assert!(served > 0);
+        assert_eq!(site.workers[0].came().len(), before, "told {STOP_WITHIN} s before, first: {told_first}");
+    }
+}
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -144,6 +144,14 @@
         nix::sys::signal::kill(id, signal).unwrap();
     }
 
+    /// Waits until the process is stopped.
+    pub async fn stopped(&self) {
+        let process = procfs::process::Process::new(self.child.id() as i32).unwrap();
+        while process.stat().unwrap().state != 'T' {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
     /// Has a new configuration read. Once this returns it has been; what comes of it, comes.
     pub async fn reload(&self, text: String) {
         // A pipe: writing it through takes a reader.
--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -96,6 +96,11 @@
         self.terms.wait
     }
 
+    /// Most seconds from an answer to the next one, while discovery answers.
+    pub fn bound(&self) -> f64 {
+        self.terms.bound()
+    }
+
     /// When [`ListWatch::due`] has something to say.
     pub fn next(&self) -> Time {
         self.open_at
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -98,7 +98,9 @@
         };
         match self.held.take(&body) {
             Ok(Some(told)) => {
-                let Some(steps) = self.watch.answered(self.hub.now(), line) else { return };
+                let now = self.hub.now();
+                let Some(steps) = self.watch.answered(now, line) else { return };
+                self.hub.current_until.set(now + self.watch.bound());
                 self.carry_out(steps);
                 if !std::mem::take(&mut self.trouble).is_empty() {
                     tracing::info!("discovery answers again");
@@ -139,6 +141,7 @@
         Some(stream) => stream,
         None => TcpStream::connect(address).await?,
     };
+    let _ = stream.set_nodelay(true); // Without it calls are merely slower.
     stream.write_all(format!("GET {target} HTTP/1.1\r\nHost: discovery.local\r\n\r\n").as_bytes()).await?;
     let (mut reader, mut buffer) = (ResponseReader::new(MOST_LIST), BytesMut::with_capacity(4096));
     loop {
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -88,6 +88,8 @@
     pub last: Notify,
     /// A list is held, and requests may be decided on.
     pub ready: Cell<bool>,
+    /// Until when the list is surely no older than its watch lets it be: discovery was heard of so lately.
+    pub current_until: Cell<f64>,
     /// No answer keeps its connection.
     pub stopping: Cell<bool>,
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -162,6 +162,7 @@
         seat: Notify::new(),
         last: Notify::new(),
         ready: Cell::new(false),
+        current_until: Cell::new(f64::NEG_INFINITY),
         stopping: Cell::new(false),
     }))
 }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -21,6 +21,10 @@
 /// longer in coming is spoilt, and another attempt may still be in time.
 const STALLED: Duration = Duration::from_millis(150);
 
+/// What an attempt waits where the list is overdue: as long as what waits in the sockets takes to be read. A process that
+/// was kept from running has a drain there, told long ago, beside the requests that it decides on.
+const OVERDUE_LIST: Duration = Duration::from_millis(2);
+
 /// An attempt to be made.
 pub struct Attempt {
     pub job: JobId,
@@ -77,6 +81,10 @@
 async fn exchange(hub: &Rc<Hub>, attempt: &Attempt, place: Place) -> (Status, Load, Bytes) {
     let nothing = |status| (status, Load::default(), Bytes::new());
     let began = hub.now();
+    if began > hub.current_until.get() {
+        // The list ends this one, where it tells that the worker leaves.
+        tokio::time::sleep(OVERDUE_LIST).await;
+    }
     let mut lease = match connection(hub, &place, attempt.within).await {
         Ok(lease) => lease,
         Err(status) => return nothing(status),
