What discovery has counts 6 s later: held where it is asked itself, whatever its calls come to

Need: the users' term that a change counts as told 6 s after discovery had it and could be reached, whatever is allowed after a failed, refused or given-up call. The timelines of ListWatch covered the agent's terms only. Change: none in the program.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -2,8 +2,10 @@
 
 use crate::common::{STOP_WITHIN, configuration};
 use crate::support::*;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
-use weirusher_standins::{Agent, Reply, Scripted, counting};
+use weirusher_standins::{Agent, Reply, Scripted, counting, frame};
 
 #[tokio::test]
 async fn a_drained_worker_gets_nothing_new_and_a_new_one_at_its_address_no_old_connection() {
@@ -186,3 +188,48 @@
         assert_eq!(site.workers[0].came().len(), before, "told {STOP_WITHIN} s before, first: {told_first}");
     }
 }
+
+/// Seconds after discovery has news and can be reached from which they count as told, where it is asked for its list.
+const TOLD: f64 = 6.0;
+
+#[tokio::test]
+async fn a_drain_is_heard_of_in_time_whatever_became_of_the_calls_for_the_list() {
+    let site =
+        Site::configured(2, 256, &[], |text| text.replace(r#""Dcs""#, r#""Discovery":"ask","Dcs""#)).await;
+    let own: Vec<_> = site.workers.iter().map(|worker| worker.address).collect();
+    let entries = |status| list(5, &[("s-0", own[0], status), ("s-1", own[1], "SERVING")]);
+    let (before, after) = (entries("SERVING"), entries("DRAINING"));
+    let drained = Arc::new(AtomicBool::new(false));
+    let told = drained.clone();
+    let failed = AtomicUsize::new(0);
+    // From the drain on: no news on the watch that is open, then a break, an error, half a list, silence.
+    let discovery = Scripted::start(ANYWHERE, move |call| {
+        let watch = call.path.contains("since=");
+        match (told.load(Ordering::SeqCst), watch) {
+            (false, false) => Reply::ok(&before),
+            (false, true) => Reply::After(
+                Duration::from_secs(4),
+                frame(200, "", r#"{"index":5,"snapshot":false,"endpoints":[]}"#),
+            ),
+            (true, _) => match failed.fetch_add(1, Ordering::SeqCst) {
+                0 => Reply::Break,
+                1 => Reply::Bytes(frame(503, "", "")),
+                2 => Reply::Last(frame(200, "", &after).slice(..150)),
+                3 => Reply::Silence,
+                _ => Reply::ok(&after.replace("\"index\":5", "\"index\":6")),
+            },
+        }
+    })
+    .await
+    .unwrap();
+    site.reload(configuration(site.listen, discovery.address, site.counter.address, 256)).await;
+    discovery.wait_for(2).await;
+    drained.store(true, Ordering::SeqCst);
+    let (had, mut client) = (std::time::Instant::now(), site.client().await);
+    while had.elapsed().as_secs_f64() < TOLD + STOP_WITHIN + 1.0 {
+        assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let last = site.workers[0].came().last().unwrap().at.saturating_duration_since(had).as_secs_f64();
+    assert!(last <= TOLD + STOP_WITHIN, "{last} s after discovery had it");
+}
