--- a/crates/cli/tests/node/ends.rs
+++ b/crates/cli/tests/node/ends.rs
@@ -2,6 +2,7 @@
 
 use crate::support::*;
 use std::time::Duration;
+use weirusher_standins::Reply;
 
 #[tokio::test]
 async fn told_to_stop_it_answers_what_it_took_and_ends() {
@@ -63,3 +64,40 @@
     site.signal(nix::sys::signal::Signal::SIGTERM);
     assert_eq!(last.answer().await.expect("a whole answer").2, format!("done {asked}"));
 }
+
+#[tokio::test]
+async fn told_to_stop_twice_under_workers_that_hang_it_answers_each_in_its_time_and_ends() {
+    let mut site = Site::start(2).await;
+    let mut idle = site.client().await;
+    assert_eq!(idle.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+    site.workers.iter().for_each(|worker| worker.set_script(|_| Reply::Silence));
+    let patience = 1500;
+    let mut clients = Vec::new();
+    for nth in 0..4 {
+        let mut client = site.client().await;
+        let short = store(&id(), "x").replace("3000m", &format!("{patience}m"));
+        client.send(&if nth % 2 == 0 { short } else { request(&id(), "iso", patience) }).await;
+        clients.push(client);
+    }
+    let sent = std::time::Instant::now();
+    site.signal(nix::sys::signal::Signal::SIGTERM);
+    // One that is idle shows when the first was taken in.
+    idle.closed().await;
+    site.signal(nix::sys::signal::Signal::SIGTERM);
+    // It still takes what comes, and that gets its answer too.
+    let mut late = site.client().await;
+    late.send(&request(&id(), "iso", patience)).await;
+    clients.push(late);
+    for client in &mut clients {
+        let (status, head, _) = client.answer().await.expect("an answer, whole");
+        assert!(status >= 400 && head.contains("connection: close"), "{status} {head}");
+    }
+    assert!(sent.elapsed() < LIMIT / 5, "nobody waits past its time by much: {:?}", sent.elapsed());
+    let ended = async {
+        while site.child.try_wait().unwrap().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, ended).await.expect("it ends by itself");
+    assert!(site.child.wait().unwrap().success());
+}
