A connection that comes up late puts no server out: three in a row do, a refusal at once

Change: a refusal comes within a round trip; one that is not made within half of the connect limit counts as one failure, and the third in a row puts the server out and suspects it, as before. The limit moves from Site to Settings. Result: module test, fails without (one late connection put the server out).

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -153,7 +153,7 @@
         clock,
         names: Names::new(site),
         budget,
-        connect_timeout: site.connect_timeout,
+        connect_timeout: site.settings.connect_limit,
         count_limit: site.settings.count_limit,
         state: RefCell::new(State::new(relay, &budget, IDLE_MARGIN * site.conn_idle)),
         timers: Alarm::default(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,6 +98,8 @@
     pub has_counter: bool,
     /// A counter call is given up after this many seconds.
     pub count_limit: f64,
+    /// Seconds within which a connection to a server comes up, or counts as failed.
+    pub connect_limit: f64,
     /// Most units that one request takes.
     pub max_units: f64,
     /// True units come with the answer; a request's own are a guess.
@@ -140,6 +142,7 @@
             plans: Vec::new(),
             has_counter: false,
             count_limit: 0.05,
+            connect_limit: 0.25,
             max_units: 1.0,
             post_paid: false,
             may_probe: false,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -72,6 +72,8 @@
 const SUBSET: (usize, usize) = (6, 20);
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
+/// Share of the limit for a connection within which a refusal comes: a round trip, where limits are several.
+const REFUSED: f64 = 0.5;
 /// Seconds a server is first and at most put out for.
 const EJECT: (f64, f64) = (1.0, 8.0);
 /// Share of the servers that may be put out at once: more failing together is no server's own fault.
@@ -271,7 +273,7 @@
     }
     let mut figures = vec![("count_limit", s.count_limit), ("max_retry_after", s.max_retry_after)];
     figures.extend([("cold_from", s.cold_from), ("cold", s.cold), ("step", s.step), ("fall", s.fall)]);
-    figures.push(("fall_multiple", s.fall_multiple));
+    figures.extend([("fall_multiple", s.fall_multiple), ("connect_limit", s.connect_limit)]);
     figures.extend(s.classes.iter().flat_map(|c| [("aim", c.aim), ("late_worth", c.late_worth)]));
     for p in &s.plans {
         figures.extend([("rate", p.rate), ("burst", p.burst), ("excess_worth", p.excess_worth)]);
@@ -358,11 +360,6 @@
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
 
-    /// How long a request may wait for the counter, in seconds.
-    fn hold(&self) -> f64 {
-        HOLD_SHARE * self.set.count_limit
-    }
-
     fn set_timer(&mut self, at: Time, due: Due) -> u64 {
         self.next_token += 1;
         self.due.insert(self.next_token, due);
@@ -423,10 +420,12 @@
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
             Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
-            Status::ConnectFailed => (host.failures, host.gone) = (EJECT_AFTER, true),
+            // One that did not come up in time may be late: it counts once, as other failures do.
+            Status::ConnectFailed if spent < REFUSED * self.set.connect_limit => host.failures = EJECT_AFTER,
             Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
         }
+        host.gone |= status == Status::ConnectFailed && host.failures >= EJECT_AFTER;
         if host.failures >= EJECT_AFTER && self.now >= host.out_until {
             self.eject(place);
         }
@@ -564,7 +563,7 @@
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
         let known = (request.class < classes && request.plan < plans)
             && (request.units.is_finite() && request.units >= 0.0)
-            && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
+            && request.expires > self.now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize;
         let (arrived, attempts) = (self.now, Vec::new());
         let copy = request.clone();
@@ -745,7 +744,7 @@
         let thin = if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
         let owed = self.debt(key, plan);
         self.call(key, window, want + owed + thin, Why::Ask { want, owed }, plan);
-        let token = self.set_timer(self.now + self.hold(), Due::Hold(key.clone()));
+        let token = self.set_timer(self.now + HOLD_SHARE * self.set.count_limit, Due::Hold(key.clone()));
         let customer = self.customers.get_mut(key).expect("seen above");
         (customer.window, customer.late, customer.asking) = (window, false, Some(token));
     }
--- a/src/site.rs
+++ b/src/site.rs
@@ -18,8 +18,6 @@
     pub zones: Vec<String>,
     /// Seconds of idleness after which a server's machine closes a connection.
     pub conn_idle: f64,
-    /// Seconds after which a connection that is not made counts as failed.
-    pub connect_timeout: f64,
     /// Answers carry load reports.
     pub reports: bool,
     /// Seconds within which nothing new may begin at a server that is told to leave.
@@ -108,6 +106,7 @@
         plans: keys.list("Plans").iter().map(plan).collect::<Result<_, _>>()?,
         must_ask: keys.text("Discovery") == "ask",
         has_counter: domain.flag("HasCounter"),
+        connect_limit: limits.num("ConnectTimeout", plain.connect_limit)?,
         count_limit: domain.num("CountLimit", plain.count_limit)?,
         max_units: domain.num("MaxUnits", plain.max_units)?,
         post_paid: domain.flag("PostPaid"),
@@ -141,7 +140,6 @@
             plans: names("Plans"),
             zones: keys.list("Dcs").iter().map(zone).collect(),
             conn_idle: limits.num("ConnIdle", 10.0)?,
-            connect_timeout: limits.num("ConnectTimeout", 0.25)?,
             reports: report.text("Source") == "answers",
             stop_within: keys.sub("Rules").num("StopSendingWithin", 0.5)?,
         })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -165,3 +165,45 @@
     rig.now += 0.1;
     assert_eq!(sends(&rig.ask("after")).len(), 1);
 }
+
+/// Of 20 requests that follow `failures` attempts at one server, each of which took `spent` seconds to fail to connect,
+/// how many go there.
+fn sent_after_failed_connections(failures: u32, spent: f64) -> usize {
+    let mut rig = Rig::new(plain(Effect::Safe));
+    let mut out = 0;
+    for i in 0..90 {
+        let asked = format!("a{i}");
+        for (job, server) in sends(&rig.ask(&asked)) {
+            let fails = server.as_ref() == "a" && out < failures;
+            out += u32::from(fails);
+            let (status, spent) = if fails { (Status::ConnectFailed, spent) } else { (Status::Ok, 0.1) };
+            let load = Load::default();
+            rig.event(Event::Outcome {
+                job,
+                attempt: 0,
+                server,
+                status,
+                spent,
+                over: true,
+                settled: None,
+                load,
+            });
+            if out == failures {
+                let sent = |i: u32| {
+                    let sent = sends(&rig.ask(&format!("b{i}")));
+                    sent.iter().for_each(|(job, server)| drop(rig.outcome(job, 0, server, Status::Ok)));
+                    sent.iter().filter(|(_, server)| server.as_ref() == "a").count()
+                };
+                return (0..20).map(sent).sum();
+            }
+        }
+    }
+    panic!("it was sent nothing");
+}
+
+#[test]
+fn a_connection_that_comes_up_late_is_no_refusal() {
+    assert_eq!(sent_after_failed_connections(1, 0.002), 0, "refused: it is put out at once");
+    assert!(sent_after_failed_connections(1, 0.25) > 0, "late: another try tells more");
+    assert_eq!(sent_after_failed_connections(3, 0.25), 0, "three in a row: its machine is gone");
+}
