A thin customer's share holds a first request at 85 in 100 of its gateways, not at all

Gateway::request started the share of a customer never seen with one request wherever burst over spread is under one, so the first requests alone were spread, not burst, and a restart granted them anew. Change: 85 in 100 of a customer's gateways, drawn from customer and gateway, hold one at first; the others once refilled. Module test: with all of them 200 of 200 first requests of a burst of 20 are let in.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,8 @@
 const QUIET: (u32, f64) = (3, 5.0);
 /// Seconds after its return for which shares still decide, while each gateway's debt reaches it.
 const SETTLING: f64 = 2.0 * REFRESH;
+/// Share of a customer's gateways at which a share under one request holds one at first: at all, too many.
+const THIN_STARTS: f64 = 0.85;
 /// Share of the burst by which a count must have fallen within a window to show that it was emptied.
 const EMPTIED: f64 = 0.2;
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
@@ -346,11 +348,6 @@
         self.now < self.settling || failures >= QUIET.0 && self.now - since > QUIET.1 * self.set.count_limit
     }
 
-    /// The last call failed, or the counter is quiet: nothing is asked of it, and all that is spent is owed.
-    fn unsure_of_counter(&self) -> bool {
-        self.failing.0 > 0 || self.quiet()
-    }
-
     /// A number from 0 to 1, from the seed.
     fn draw(&mut self) -> f64 {
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
@@ -574,8 +571,9 @@
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
-        let level =
-            if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
+        let place = hash(&[request.customer.as_bytes(), &self.set.me.to_le_bytes()]) % 1024;
+        let one = if (place as f64) < THIN_STARTS * 1024.0 { request.units } else { 0.0 };
+        let level = if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(one) };
         let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
@@ -610,7 +608,8 @@
             customer.held.push_back(id);
             return;
         }
-        if self.unsure_of_counter() {
+        // The last call failed, or none is answered: nothing is asked, and all that is spent is owed.
+        if self.failing.0 > 0 || self.quiet() {
             if usable {
                 self.settle_debt(&key, plan);
             }
@@ -699,7 +698,7 @@
     fn spend(&mut self, id: JobId, units: f64, off_count: bool) {
         let key = self.jobs[&id].request.customer.clone();
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
-        let unsure = self.unsure_of_counter();
+        let unsure = self.failing.0 > 0 || self.quiet();
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         let thin = plan.burst < f64::from(customer.spread) * units;
         if !off_count {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -217,3 +217,18 @@
         }
     }
 }
+
+#[test]
+fn a_customer_of_thin_shares_is_not_let_in_at_every_gateway_at_first_nor_by_a_restart() {
+    let mut s = settings();
+    s.has_counter = false;
+    let n = 200;
+    let first = || {
+        let mut rigs = fleet(n, &s, &servers(9));
+        rigs.iter_mut().map(|rig| one(rig, "first", n).is_some()).collect::<Vec<bool>>()
+    };
+    let served = first();
+    let many = served.iter().filter(|served| **served).count();
+    assert!((150..190).contains(&many), "{many} of {n}: at all of them it would be {n} for a burst of 20");
+    assert_eq!(first(), served, "gateways that start again hold what they held at first, no more");
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -25,6 +25,7 @@
   "second-answer|crates/core/src/pool.rs|const REST: f64 = 0.01;|const REST: f64 = -1.0;|test:weirusher-cli"
   "woken-list|crates/node/src/worker.rs|if began > hub.current_until.get() {|if began < 0.0 {|test:weirusher-cli"
   "asked-late|crates/core/src/watch.rs|const ASKED: (f64, f64) = (4.0, 0.75);|const ASKED: (f64, f64) = (4.0, 3.0);|test:weirusher-core"
+  "thin-starts|src/logic.rs|const THIN_STARTS: f64 = 0.85;|const THIN_STARTS: f64 = 1.0;|test:weirusher"
   "ceiling-share|src/logic.rs|if plan.ceiling_rate > 0.0 { 0.0 } else {|if plan.ceiling_rate > 1e9 { 0.0 } else {|ceilings"
   "safe-share|src/logic.rs|if self.share_covers(\&key, plan, units) {|if true {|ceilings"
   "held-released|src/logic.rs|Some(Due::Hold(key)) => self.stop_holding(\&key, token),|Some(Due::Hold(_)) => {}|ceilings"
