The wait for a gatekeeper's own end stands once in its tests

Need: two tests of ends.rs had the same loop and checks. Change: one function; assertions unchanged.

--- a/crates/cli/tests/node/ends.rs
+++ b/crates/cli/tests/node/ends.rs
@@ -4,6 +4,17 @@
 use std::time::Duration;
 use weirusher_standins::Reply;
 
+/// The process ends without a kill, and in order.
+async fn ends_by_itself(site: &mut Site) {
+    let ended = async {
+        while site.child.try_wait().unwrap().is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, ended).await.expect("it ends by itself");
+    assert!(site.child.wait().unwrap().success());
+}
+
 #[tokio::test]
 async fn told_to_stop_it_answers_what_it_took_and_ends() {
     let mut site = Site::start(6).await;
@@ -26,13 +37,7 @@
     let (_, head, body) = client.answer().await.unwrap();
     assert_eq!(body, format!("done {open}"));
     assert!(head.contains("connection: close"), "{head}");
-    let ended = async {
-        while site.child.try_wait().unwrap().is_none() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(LIMIT, ended).await.expect("it ends by itself");
-    assert!(site.child.wait().unwrap().success());
+    ends_by_itself(&mut site).await;
 }
 
 #[tokio::test]
@@ -93,11 +98,5 @@
         assert!(status >= 400 && head.contains("connection: close"), "{status} {head}");
     }
     assert!(sent.elapsed() < LIMIT / 5, "nobody waits past its time by much: {:?}", sent.elapsed());
-    let ended = async {
-        while site.child.try_wait().unwrap().is_none() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(LIMIT, ended).await.expect("it ends by itself");
-    assert!(site.child.wait().unwrap().success());
+    ends_by_itself(&mut site).await;
 }
