Bodies in chunks, and answers that end with their connection, are read

At fault: Fields::length, which turned every encoding down, and so also answers of workers, discovery and the counter in chunks; an answer with neither (its end is its connection's) was turned down as a whole.

Now wire::body reads a body by length, in chunks (httparse for the size lines, extensions and trailers dropped, all of it bounded) or to the connection's end; a length beside chunks, and any other encoding, stay errors. A reset is no end: such an answer serves nobody. A list whose answer closes its connection is asked on with a new one for the same line.

Tests that said the opposite: chunks on a request without a body are 405 now (400 before), beside a length still 400; an answer without a length is no error any more but a wait for its end, and has three tests for whole, reset and too long.

--- a/crates/cli/tests/node/clients.rs
+++ b/crates/cli/tests/node/clients.rs
@@ -31,6 +31,34 @@
     assert!(connections <= 2, "pooled: {connections}");
 }
 
+#[tokio::test]
+async fn a_body_in_chunks_passes_whole_however_its_bytes_come() {
+    let site = Site::start(1).await;
+    let mut client = site.client().await;
+    client.0.set_nodelay(true).unwrap();
+    for piece in [1, 3, 11, 4096] {
+        let id = id();
+        let chunks = "2\r\nes\r\n3;name=value\r\nsay\r\n0\r\nX-Digest: 1\r\n\r\n";
+        let head = store(&id, "").replace("Content-Length: 0", "Transfer-ENCODING:   chunked ");
+        // Behind it waits another request: it is none of the body.
+        let (next, text) = (request(&self::id(), "iso", 3000), format!("{head}{chunks}"));
+        for part in format!("{text}{next}").as_bytes().chunks(piece) {
+            client.0.write_all(part).await.unwrap();
+        }
+        assert_eq!(client.answer().await.unwrap().2, format!("done {id}"));
+        assert_eq!(client.answer().await.unwrap().0, 200);
+        let came: Vec<_> = site.workers[0].came();
+        let stored = came.iter().find(|c| c.request.headers.get("x-trace-id") == Some(&id)).unwrap();
+        assert_eq!(&*stored.request.body, b"essay");
+    }
+    for (chunks, status) in [("x\r\n", 400), ("10001\r\n", 413), ("2\r\nessay\r\n", 400)] {
+        let head = store("bad-1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        let answer = site.client().await.ask(&format!("{head}{chunks}")).await.unwrap();
+        assert_eq!(answer.0, status, "{chunks}");
+    }
+    assert_eq!(site.tries("bad-1"), 0);
+}
+
 #[tokio::test]
 async fn beyond_its_quota_a_customer_is_refused_at_once_with_when_to_come_back() {
     let site = Site::start(1).await;
--- a/crates/cli/tests/node/workers.rs
+++ b/crates/cli/tests/node/workers.rs
@@ -61,6 +61,48 @@
     spoilt(|_| Reply::Last("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal".into())).await;
 }
 
+/// An answer whose end is that of its connection.
+fn without_a_length(request: &Request) -> String {
+    format!("HTTP/1.1 200 OK\r\n\r\ndone {}", request.headers.get("x-trace-id").unwrap_or(""))
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_that_is_reset_serves_nobody() {
+    spoilt(|request| Reply::Reset(without_a_length(request).into())).await;
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole_as_its_connection_ends() {
+    let site = Site::start(1).await;
+    let mut client = site.client().await;
+    site.workers[0].set_script(|request| Reply::Last(without_a_length(request).into()));
+    for n in 1..=3 {
+        let id = id();
+        assert_eq!(client.ask(&store(&id, "x")).await.unwrap().2, format!("done {id}"));
+        assert_eq!((site.tries(&id), site.workers[0].connections()), (1, n));
+    }
+}
+
+#[tokio::test]
+async fn answers_in_chunks_serve_and_keep_their_connection() {
+    let site = Site::start(1).await;
+    let mut client = site.client().await;
+    site.workers[0].set_script(|request| {
+        let (one, other) = ("done ", request.headers.get("x-trace-id").unwrap_or(""));
+        let chunks = format!("{:x}\r\n{one}\r\n{:x};x=y\r\n{other}\r\n0\r\n\r\n", one.len(), other.len());
+        Reply::Bytes(format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}").into())
+    });
+    site.counter.set_script(|_| {
+        Reply::Bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n7\r\n0\r\n\r\n".into())
+    });
+    for _ in 0..3 {
+        let id = id();
+        assert_eq!(client.ask(&request(&id, "iso", 3000)).await.unwrap().2, format!("done {id}"));
+        tokio::time::sleep(RESTED).await;
+    }
+    assert_eq!((site.workers[0].connections(), site.counter.connections()), (1, 1));
+}
+
 #[tokio::test]
 async fn an_answer_of_two_lengths_serves_nobody() {
     spoilt(|_| Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk".into()))
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -12,6 +12,7 @@
 use weirusher_core::{Arrival, Final, SeatId};
 use weirusher_platform::client::{self, Asked, BadRequest, Demand};
 use weirusher_platform::worker::Passed;
+use weirusher_wire::body::{BodyReader, Framing};
 use weirusher_wire::head::{HeadSearch, NO_HEADERS, request};
 
 /// Bytes of a connection's buffer, to begin with and again once it is empty.
@@ -84,14 +85,24 @@
 }
 
 impl Held {
-    /// `None`: the bodies that are held, or on their way, leave no room.
-    fn take(hub: &Rc<Hub>, bytes: usize) -> Option<Self> {
-        let held = &mut hub.state.borrow_mut().body_bytes;
-        if *held + bytes > hub.budget.body_bytes {
-            return None;
+    fn take(hub: &Rc<Hub>, framing: Framing) -> Result<Self, BadRequest> {
+        let mut held = Self { hub: hub.clone(), bytes: 0 };
+        if let Framing::Length(bytes) = framing {
+            held.grow(bytes)?;
         }
-        *held += bytes;
-        Some(Self { hub: hub.clone(), bytes })
+        Ok(held)
+    }
+
+    /// Room for `bytes` in all, or an error: the bodies that are held, or on their way, leave none.
+    fn grow(&mut self, bytes: usize) -> Result<(), BadRequest> {
+        let more = bytes.saturating_sub(self.bytes);
+        let held = &mut self.hub.state.borrow_mut().body_bytes;
+        if *held + more > self.hub.budget.body_bytes {
+            return Err(BadRequest::NoRoom);
+        }
+        *held += more;
+        self.bytes += more;
+        Ok(())
     }
 }
 
@@ -241,14 +252,17 @@
             Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
             Asked::Demand(demand) => demand,
         };
-        let held = Held::take(&self.seat.hub, demand.length).ok_or(BadRequest::NoRoom)?;
-        while self.buffer.len() < demand.length {
-            self.buffer.reserve(demand.length - self.buffer.len());
+        let mut held = Held::take(&self.seat.hub, demand.framing)?;
+        let mut reader = BodyReader::new(demand.framing, client::MOST_BODY);
+        let body = loop {
+            if let Some(body) = reader.read(&mut self.buffer)? {
+                break body;
+            }
+            held.grow(reader.held())?;
             if !self.more().await? {
                 return Ok(Next::End);
             }
-        }
-        let body = self.buffer.split_to(demand.length).freeze();
+        };
         let passed = Passed::new(&parsed, &demand.job, body);
         Ok(Next::Request(demand, passed, held))
     }
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -13,7 +13,7 @@
 use weirusher::Status;
 use weirusher_core::{Lines, Route};
 use weirusher_platform::counter::{MOST_ANSWER, outcome, write_call};
-use weirusher_platform::response::ResponseReader;
+use weirusher_platform::response::{Response, ResponseReader};
 
 /// Most bytes that wait to be written on a line; past that, calls are turned away: the counter reads too slowly.
 const MOST_UNWRITTEN: usize = 64 * 1024;
@@ -136,7 +136,7 @@
                             return Some(error);
                         }
                     }
-                    Ok(_) => return None,
+                    Ok(_) => return answers.ended().and_then(|last| self.answer(line, Some(last)).err()),
                     Err(error) => return Some(error),
                 },
                 () = async { tokio::time::sleep_until(at.unwrap_or_else(tokio::time::Instant::now)).await },
@@ -171,23 +171,30 @@
 
     /// Hands the answers on that have come. An error: the line is of no further use.
     fn answers(&self, line: usize, answers: &mut ResponseReader, unread: &mut BytesMut) -> io::Result<()> {
-        let invalid = |error: String| io::Error::new(io::ErrorKind::InvalidData, error);
         loop {
-            let (told, closes) = match answers.read(unread) {
-                Ok(Some(response)) => (outcome(&response), response.closes),
+            match answers.read(unread) {
+                Ok(Some(response)) => self.answer(line, Some(response))?,
                 Ok(None) => return Ok(()),
                 // What cannot be read is an answer too.
-                Err(_) => (None, true),
-            };
-            let answered = self.lines.borrow_mut().answered(self.hub.now(), line);
-            if let Some((call, spent)) = answered.map_err(|e| invalid(e.to_string()))? {
-                // One with no total was added, but how much there is nobody knows.
-                let (status, total) = told.unwrap_or((Status::Error, 0.0));
-                self.hub.counted(call, status, total, spent);
-            }
-            if told.is_none() || closes {
-                return Err(invalid("its answer holds no total".into()));
+                Err(_) => self.answer(line, None)?,
             }
         }
     }
+
+    /// Hands one answer on; `None`: it cannot be read. An error: the line is of no further use.
+    fn answer(&self, line: usize, response: Option<Response>) -> io::Result<()> {
+        let invalid = |error: String| io::Error::new(io::ErrorKind::InvalidData, error);
+        let closes = response.as_ref().is_none_or(|response| response.closes);
+        let told = response.as_ref().and_then(outcome);
+        let answered = self.lines.borrow_mut().answered(self.hub.now(), line);
+        if let Some((call, spent)) = answered.map_err(|e| invalid(e.to_string()))? {
+            // One with no total was added, but how much there is nobody knows.
+            let (status, total) = told.unwrap_or((Status::Error, 0.0));
+            self.hub.counted(call, status, total, spent);
+        }
+        if told.is_none() || closes {
+            return Err(invalid("its answer holds no total, or is the last".into()));
+        }
+        Ok(())
+    }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -15,8 +15,8 @@
 use weirusher_platform::list::{Held, MOST_LIST};
 use weirusher_platform::response::ResponseReader;
 
-/// A call's answer and the connection it came on.
-type Answer = (TcpStream, BytesMut);
+/// A call's answer and the connection it came on, where that goes on.
+type Answer = (Option<TcpStream>, BytesMut);
 
 /// Who follows the list.
 struct Follower {
@@ -109,7 +109,7 @@
                 if told.kind != ListKind::Changes || !told.workers.is_empty() {
                     self.hub.list(told);
                 }
-                self.call(line, Some(stream), self.held.target(self.watch.wait()));
+                self.call(line, stream, self.held.target(self.watch.wait()));
             }
             Ok(None) => self.failed(line, "changes to an older list than the one that is held".into()),
             Err(error) => self.failed(line, error.to_string()),
@@ -145,12 +145,13 @@
     stream.write_all(format!("GET {target} HTTP/1.1\r\nHost: discovery.local\r\n\r\n").as_bytes()).await?;
     let (mut reader, mut buffer) = (ResponseReader::new(MOST_LIST), BytesMut::with_capacity(4096));
     loop {
-        if stream.read_buf(&mut buffer).await? == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        if let Some(response) = reader.read(&mut buffer).map_err(|e| invalid(e.to_string()))? {
+        let answer = match stream.read_buf(&mut buffer).await? {
+            0 => Some(reader.ended().ok_or(io::ErrorKind::UnexpectedEof)?),
+            _ => reader.read(&mut buffer).map_err(|e| invalid(e.to_string()))?,
+        };
+        if let Some(response) = answer {
             return match response.status {
-                200 => Ok((stream, response.body.into())),
+                200 => Ok(((!response.closes).then_some(stream), response.body.into())),
                 status => Err(invalid(format!("status {status}"))),
             };
         }
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -162,7 +162,7 @@
     stream.write_all_buf(&mut bytes::Buf::chain(&head[..], body)).await
 }
 
-/// The answer, whole; `None`: the connection ended before.
+/// The answer, whole; `None`: the connection ended before. A reset is an error, and no answer's end.
 async fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<Option<Response>> {
     let mut reader = ResponseReader::new(MOST_ANSWER);
     loop {
@@ -170,7 +170,7 @@
         let begun = reader.begun();
         let read = if begun { tokio::time::timeout(STALLED, more).await? } else { more.await };
         if read? == 0 {
-            return Ok(None);
+            return Ok(reader.ended());
         }
         let read = reader.read(buffer).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
         if read.is_some() {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -3,6 +3,7 @@
 use bytes::{BufMut, BytesMut};
 use std::collections::HashMap;
 use weirusher::{CustomerId, Effect, JobId, Site};
+use weirusher_wire::body::Framing;
 use weirusher_wire::head::{Fields, RequestHead};
 use weirusher_wire::http1::HttpError;
 
@@ -26,7 +27,7 @@
     /// Its head is too long.
     #[error("a head that is too long")]
     HeadTooLarge,
-    /// Its length is given in two ways, in an encoding, or not as a number.
+    /// Its length is given in two ways, in an encoding other than chunks, or not as a number.
     #[error("a length that cannot be used")]
     Length,
     /// Its body is too long.
@@ -122,8 +123,8 @@
     pub patience: f64,
     /// It is a marked repeat.
     pub repeat: bool,
-    /// Bytes of its body.
-    pub length: usize,
+    /// How its body's end is told.
+    pub framing: Framing,
     /// The connection closes after the answer.
     pub closes: bool,
 }
@@ -143,8 +144,9 @@
 /// What is wrong with it; the connection is of no further use, as what follows the head is not known.
 pub fn read(names: &Names, head: &RequestHead<'_, '_>) -> Result<Asked, BadRequest> {
     let fields = &head.fields;
-    let length = fields.length(MOST_BODY)?;
-    if (head.method, head.target) == ("GET", READY) && length.unwrap_or(0) == 0 {
+    let framing = fields.framing(MOST_BODY)?.unwrap_or(Framing::Length(0));
+    let empty = framing == Framing::Length(0);
+    if (head.method, head.target) == ("GET", READY) && empty {
         return Ok(Asked::Ready);
     }
     let customer = customer(head.target).ok_or(BadRequest::Path)?;
@@ -154,7 +156,7 @@
     }
     let class = names.classes.get(one(fields, "X-Qos")?).ok_or(BadRequest::Field("X-Qos"))?;
     let plan = names.plans.get(one(fields, "Plan")?).ok_or(BadRequest::Field("Plan"))?;
-    let fits = if class.1 { head.method == "GET" && length.unwrap_or(0) == 0 } else { head.method == "POST" };
+    let fits = if class.1 { head.method == "GET" && empty } else { head.method == "POST" };
     if !fits {
         return Err(BadRequest::Method);
     }
@@ -174,7 +176,7 @@
         spread,
         patience,
         repeat,
-        length: length.unwrap_or(0),
+        framing,
         closes: fields.closes(),
     }))
 }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -1,6 +1,7 @@
 //! Answers of workers, the counter and discovery, as their bytes come in.
 
 use bytes::{Bytes, BytesMut};
+use weirusher_wire::body::{BodyReader, Framing};
 use weirusher_wire::head::{HeadSearch, NO_HEADERS, response};
 use weirusher_wire::http1::HttpError;
 
@@ -27,7 +28,7 @@
 pub struct ResponseReader {
     most_body: usize,
     search: HeadSearch,
-    head: Option<(Response, usize)>,
+    head: Option<(Response, BodyReader)>,
     interim: u32,
     begun: bool,
 }
@@ -63,21 +64,30 @@
                 continue;
             }
             let fields = head.fields;
-            // Without a length the end of the connection would be the end of the body: nobody could tell a
-            // whole answer from a broken one.
-            let length = fields.length(self.most_body)?.ok_or(HttpError::Length)?;
+            let framing = match head.status {
+                // These have no body, whatever their head says.
+                204 | 304 => Framing::Length(0),
+                _ => fields.framing(self.most_body)?.unwrap_or(Framing::UntilClose),
+            };
             let never_ran = fields.one("X-Never-Ran") == Ok(Some("1"));
             let report = fields.one("Endpoint-Load-Metrics").ok().flatten().map(str::to_string);
-            let (status, closes) = (head.status, fields.closes());
-            self.head = Some((Response { status, body: Bytes::new(), never_ran, report, closes }, length));
-        }
-        let length = self.head.as_ref().map_or(0, |(_, length)| *length);
-        if src.len() < length {
-            src.reserve(length - src.len());
-            return Ok(None);
+            let (status, closes) = (head.status, fields.closes() || framing == Framing::UntilClose);
+            let body = BodyReader::new(framing, self.most_body);
+            self.head = Some((Response { status, body: Bytes::new(), never_ran, report, closes }, body));
         }
+        let Some((_, body)) = &mut self.head else { return Ok(None) };
+        let Some(body) = body.read(src)? else { return Ok(None) };
+        Ok(self.whole(body))
+    }
+
+    /// The connection ended in order, with no reset: the answer that this is the end of.
+    pub fn ended(&mut self) -> Option<Response> {
+        let body = self.head.as_mut()?.1.ended()?;
+        self.whole(body)
+    }
+
+    fn whole(&mut self, body: Bytes) -> Option<Response> {
         self.interim = 0;
-        let body = src.split_to(length).freeze();
-        Ok(self.head.take().map(|(response, _)| Response { body, ..response }))
+        self.head.take().map(|(response, _)| Response { body, ..response })
     }
 }
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -36,8 +36,10 @@
     Silence,
     /// The connection breaks.
     Break,
-    /// These bytes, and then the connection breaks.
+    /// These bytes, and then the connection ends.
     Last(Bytes),
+    /// These bytes, and then, once they have arrived, the connection is reset.
+    Reset(Bytes),
 }
 
 impl Reply {
@@ -178,6 +180,12 @@
             let _ = stream.write_all(&bytes).await; // It breaks in any case.
             false
         }
+        Reply::Reset(bytes) => {
+            let _ = stream.write_all(&bytes).await; // It breaks in any case.
+            // On loopback what is written has arrived.
+            let _ = stream.set_zero_linger();
+            false
+        }
     }
 }
 
--- a/crates/wire/src/head.rs
+++ b/crates/wire/src/head.rs
@@ -1,5 +1,6 @@
 //! Heads of HTTP/1.1 messages, read where they lie: nothing is copied.
 
+use crate::body::Framing;
 use crate::http1::{HttpError, MOST_HEAD, MOST_HEADERS};
 
 /// Finds the end of a head as its bytes come in: only what is new is searched, so that a byte a second does
@@ -65,6 +66,24 @@
         self.0.iter().any(|h| h.name.eq_ignore_ascii_case("connection") && closing(h.value))
     }
 
+    /// How the end of the body is told; `None`: the head does not say. Only one way is taken: a length beside chunks is
+    /// how requests are smuggled.
+    ///
+    /// # Errors
+    /// It is told in two ways, in another encoding, by no plain number, or the length is past `most`.
+    pub fn framing(&self, most: usize) -> Result<Option<Framing>, HttpError> {
+        if !self.has("transfer-encoding") {
+            return Ok(self.length(most)?.map(Framing::Length));
+        }
+        let encoding = self.one("transfer-encoding").map_err(|_| HttpError::Length)?;
+        let chunked = encoding.is_some_and(|text| text.trim().eq_ignore_ascii_case("chunked"));
+        if chunked && !self.has("content-length") {
+            Ok(Some(Framing::Chunked))
+        } else {
+            Err(HttpError::Length)
+        }
+    }
+
     /// The stated length of the body; `None`: none is stated. Two lengths, or a length and an encoding, are how
     /// requests are smuggled.
     ///
--- a/crates/wire/src/http1.rs
+++ b/crates/wire/src/http1.rs
@@ -28,7 +28,7 @@
     #[error("a body of more than {MOST_BODY} bytes")]
     BodyTooLarge,
     /// The body's length is given in a way that is not served, or in two ways.
-    #[error("a body must have one content-length and no transfer-encoding")]
+    #[error("a body whose length is told in no way that is served, or in two")]
     Length,
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod body;
 pub mod eds;
 pub mod head;
 pub mod http1;
--- /dev/null
+++ b/crates/wire/tests/body.rs
@@ -0,0 +1,107 @@
+//! Bodies in each framing: the same however their bytes are split, and never past a bound.
+
+use bytes::{Bytes, BytesMut};
+use proptest::prelude::*;
+use weirusher_wire::body::{BodyReader, Framing};
+use weirusher_wire::head::{NO_HEADERS, request};
+use weirusher_wire::http1::HttpError;
+
+const MOST: usize = 1000;
+
+/// What a reader gives for bytes that come in pieces, and what it leaves of them.
+fn read(framing: Framing, bytes: &[u8], piece: usize) -> Result<(Option<Bytes>, BytesMut), HttpError> {
+    let (mut reader, mut src) = (BodyReader::new(framing, MOST), BytesMut::new());
+    let mut body = reader.read(&mut src)?;
+    for part in bytes.chunks(piece.max(1)) {
+        src.extend_from_slice(part);
+        if body.is_none() {
+            body = reader.read(&mut src)?;
+        }
+        assert!(reader.held() <= MOST);
+    }
+    Ok((body.or_else(|| reader.ended()), src))
+}
+
+fn chunked(text: &str) -> Result<Option<Bytes>, HttpError> {
+    read(Framing::Chunked, text.as_bytes(), text.len()).map(|(body, _)| body)
+}
+
+#[test]
+fn chunks_are_put_together_and_their_trimmings_dropped() {
+    for (text, body) in [
+        ("0\r\n\r\n", Some("")),
+        ("5\r\nessay\r\n0\r\n\r\n", Some("essay")),
+        ("2\r\nes\r\n003\r\nsay\r\n00\r\n\r\n", Some("essay")),
+        ("5;name=value\r\nessay\r\n0;last\r\nX-Digest: 1\r\nX-More: 2\r\n\r\n", Some("essay")),
+        ("5 \r\nessay\r\n0\r\n\r\n", Some("essay")),
+        ("A\r\n0123456789\r\n0\r\n\r\n", Some("0123456789")),
+        ("5\r\nessay\r\n0\r\n", None),
+        ("5\r\nessay\r\n0\r\nX-Digest: 1\r\n", None),
+        ("5\r\nessay\r\n", None),
+        ("5\r\ness", None),
+    ] {
+        assert_eq!(chunked(text).unwrap(), body.map(Bytes::from), "{text:?}");
+    }
+}
+
+#[test]
+fn chunks_that_cannot_be_read_and_bodies_past_their_bound_are_refused() {
+    for bad in ["\r\n\r\n", "-1\r\n", "x\r\n", " 5\r\nessay", "5\nessay\r\n", "5\r\nessays\r\n0\r\n\r\n"] {
+        assert!(matches!(chunked(bad), Err(HttpError::Malformed(_))), "{bad:?}");
+    }
+    assert!(matches!(chunked(&format!("5;{}", "x".repeat(2000))), Err(HttpError::Malformed(_))));
+    assert!(matches!(chunked(&format!("0\r\nX: {}", "x".repeat(20_000))), Err(HttpError::HeadTooLarge)));
+    for large in ["3e9\r\n", "ffffffffffffffff\r\n"] {
+        assert!(matches!(chunked(large), Err(HttpError::BodyTooLarge)), "{large:?}");
+    }
+    let two = format!("3e8\r\n{}\r\n1\r\n", "x".repeat(MOST));
+    assert!(matches!(chunked(&two), Err(HttpError::BodyTooLarge)), "the sum counts");
+    let endless = vec![b'x'; MOST + 1];
+    assert!(matches!(read(Framing::UntilClose, &endless, 64), Err(HttpError::BodyTooLarge)));
+}
+
+#[test]
+fn a_head_tells_one_framing_or_none() {
+    let framing = |fields: &str| {
+        let head = format!("POST / HTTP/1.1\r\nHost: x\r\n{fields}\r\n");
+        let mut slots = NO_HEADERS;
+        request(head.as_bytes(), &mut slots).unwrap().fields.framing(MOST).map_err(|error| error.to_string())
+    };
+    assert_eq!(framing(""), Ok(None));
+    assert_eq!(framing("Content-Length: 7\r\n"), Ok(Some(Framing::Length(7))));
+    assert_eq!(framing("transfer-ENCODING:   Chunked \r\n"), Ok(Some(Framing::Chunked)));
+    for bad in [
+        "Content-Length: 7\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Content-Length: 1001\r\n",
+    ] {
+        assert!(framing(bad).is_err(), "{bad}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn any_split_of_a_body_reads_the_same(chunks in proptest::collection::vec("[a-z]{1,40}", 0..8),
+            extension in "(;[a-z]{0,9})?", trailers in "(X-[a-z]{1,9}: [a-z]{0,9}\r\n){0,3}",
+            behind in "[ -~]{0,20}", piece in 1..30usize) {
+        let whole = chunks.concat();
+        let mut text: String =
+            chunks.iter().map(|chunk| format!("{:x}{extension}\r\n{chunk}\r\n", chunk.len())).collect();
+        text += &format!("0\r\n{trailers}\r\n{behind}");
+        let forms = [(Framing::Chunked, text), (Framing::Length(whole.len()), format!("{whole}{behind}"))];
+        for (framing, text) in forms {
+            let (body, rest) = read(framing, text.as_bytes(), piece).unwrap();
+            prop_assert_eq!(body.as_deref(), Some(whole.as_bytes()));
+            prop_assert_eq!(&rest[..], behind.as_bytes());
+        }
+        let (body, rest) = read(Framing::UntilClose, whole.as_bytes(), piece).unwrap();
+        prop_assert_eq!((body.as_deref(), rest.len()), (Some(whole.as_bytes()), 0));
+    }
+
+    #[test]
+    fn any_bytes_are_a_body_an_error_or_a_wait(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = read(Framing::Chunked, &bytes, 7);
+    }
+}
