A client that went while it waited to be accepted is not worked for

Followed by a probe as each request is entered, which asked the socket itself and then the runtime: of 3,870 requests 75 gave 'peek=Err(ConnectionReset) ready=Pending' and 19 'peek=Ok(0) ready=Pending': the end was there to be read, and the runtime knew of nothing. At fault: answer() in client.rs, which waits for the runtime's notice. Tokio takes a read that fills less than its buffer for all that there is and waits for the next edge.

The socket is now asked itself, before a request is entered and at each notice, until it has nothing more; what is behind 16 KiB is still seen by the system's own notice of the end. Urgent data, which cannot be read here, no longer turns that wait into a loop.

Tests hold the runtime at the moment between its notice and the read, on real sockets, with a shutdown, a close and a reset; without the mend the request is entered ('left: Pending, right: Ready').

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -2,7 +2,8 @@
 
 use crate::hub::{Hub, Reply};
 use bytes::{Buf, Bytes, BytesMut};
-use std::io;
+use socket2::SockRef;
+use std::io::{self, Read};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -127,6 +128,28 @@
     }
 }
 
+/// Reads a little of what waits in a client's socket; `WouldBlock`: all of that, and it has not ended. The socket is
+/// asked itself: the runtime takes a short read for all that there is until the system tells of more, and of a client
+/// that asked and went while it waited to be accepted the system may tell no more.
+fn read_ahead(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<()> {
+    let (socket, mut scrap) = (SockRef::from(stream), [0; 1024]);
+    while buffer.len() < MOST_AHEAD {
+        match (&*socket).read(&mut scrap)? {
+            0 => return Err(io::ErrorKind::ConnectionAborted.into()),
+            many => buffer.extend_from_slice(&scrap[..many]),
+        }
+    }
+    Ok(())
+}
+
+/// That nothing more is to be read ends no connection.
+fn stays(read: io::Result<()>) -> io::Result<()> {
+    match read {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+        read => read,
+    }
+}
+
 /// What a connection brought next.
 enum Next {
     Ready { closes: bool },
@@ -270,6 +293,7 @@
     // ---- Answering ----
 
     async fn request(&mut self, demand: Demand, passed: Passed) -> io::Result<bool> {
+        stays(read_ahead(&self.stream, &mut self.buffer))?;
         let hub = self.seat.hub.clone();
         let Demand { job, customer, class, plan, units, spread, patience, repeat, closes, .. } = demand;
         {
@@ -318,11 +342,11 @@
                     if ready?.is_read_closed() {
                         return Err(gone());
                     }
-                    match self.stream.try_read_buf(&mut self.buffer) {
-                        Ok(0) => return Err(gone()),
-                        Err(error) if error.kind() != io::ErrorKind::WouldBlock => return Err(error),
-                        _ => {}
-                    }
+                    // Urgent data that does come is left where it is.
+                    stays(self.stream.try_io(interest, || match reads {
+                        true => read_ahead(&self.stream, &mut self.buffer),
+                        false => Err(io::ErrorKind::WouldBlock.into()),
+                    }))?;
                 }
             }
         }
@@ -355,3 +379,6 @@
         self.part().await
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/client/tests.rs
@@ -0,0 +1,98 @@
+//! A client's end that crosses its request, the one side held at the very moment.
+
+use super::*;
+use std::future::Future;
+use std::io::Write;
+use std::task::{Context, Poll, Waker};
+use tokio::task::LocalSet;
+use weirusher_platform::config::Config;
+
+const CONFIGURATION: &[u8] = br#"{
+    "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": 1,
+    "known": {"index": 1, "snapshot": true, "endpoints": [{"name": "s-0", "address": "127.0.0.1:9", "zone": "a",
+        "type": "m", "group": 0, "status": "SERVING", "weight": 1.0, "since_ms": 0}]},
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64},
+    "settings": {
+        "PeersTotal": 1, "Me": 0, "Domain": {"MaxUnits": 1.0},
+        "Classes": [{"Name": "check", "Effect": "idempotent", "Slo": 2.0}],
+        "Plans": [{"Name": "iso", "QuotaRate": 1000.0, "Depth": 1000.0, "Pays": 1.0}]
+    }
+}"#;
+
+fn request(id: u32) -> String {
+    format!(
+        "GET /api/00000000b4d65521 HTTP/1.1\r\nHost: x\r\nX-Trace-Id: {id}\r\nX-Qos: check\r\nPlan: iso\r\n\
+         X-Expires-In: 9000m\r\nQuota-Info: units=1,spread=1,first=0\r\n\r\n"
+    )
+}
+
+/// A connection whose request the runtime has told of, and its client.
+async fn connected(hub: &Rc<Hub>, bytes: &str) -> (Connection, std::net::TcpStream) {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    client.write_all(bytes.as_bytes()).unwrap();
+    stream.readable().await.unwrap();
+    let seat = Seat { hub: hub.clone(), id: 1 };
+    (Connection::new(seat, stream, Rc::new(Notify::new())), client)
+}
+
+/// Runs a connection as far as it comes while the runtime hears nothing new from the system.
+fn once(serve: std::pin::Pin<&mut impl Future<Output = ()>>) -> Poll<()> {
+    serve.poll(&mut Context::from_waker(Waker::noop()))
+}
+
+async fn on_one_thread(test: impl AsyncFnOnce(Rc<Hub>)) {
+    let config = Config::parse(CONFIGURATION).unwrap();
+    let hub = crate::run::hub(&config).unwrap();
+    hub.list(config.known.unwrap().unwrap());
+    LocalSet::new().run_until(test(hub)).await;
+}
+
+#[tokio::test]
+async fn a_client_that_asked_and_went_before_its_request_is_read_has_asked_nothing() {
+    on_one_thread(async |hub| {
+        // Shut down, closed, and reset: by the time that its request is read each has arrived.
+        for how in 0..3 {
+            let (connection, client) = connected(&hub, &request(how)).await;
+            match how {
+                0 => client.shutdown(std::net::Shutdown::Write).unwrap(),
+                1 => drop(client),
+                _ => {
+                    SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+                    drop(client);
+                }
+            }
+            let mut serve = std::pin::pin!(connection.serve());
+            assert_eq!(once(serve.as_mut()), Poll::Ready(()), "{how}");
+            assert_eq!(hub.state.borrow().relay.tally().requests, 0, "{how}: it was entered");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_client_that_goes_beside_bytes_ahead_is_seen_with_them() {
+    on_one_thread(async |hub| {
+        let (connection, mut client) = connected(&hub, &request(0)).await;
+        let mut serve = std::pin::pin!(connection.serve());
+        assert_eq!(once(serve.as_mut()), Poll::Pending, "it waits for its answer");
+        // One notice for both, and a read of the first alone would be a short one.
+        client.write_all(request(1).as_bytes()).unwrap();
+        client.shutdown(std::net::Shutdown::Write).unwrap();
+        tokio::time::timeout(Duration::from_secs(30), serve).await.expect("it ends");
+        assert_eq!(hub.state.borrow().relay.owed(), 0);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn one_that_stays_is_entered() {
+    on_one_thread(async |hub| {
+        let (connection, _client) = connected(&hub, &request(0)).await;
+        let mut serve = std::pin::pin!(connection.serve());
+        assert_eq!(once(serve.as_mut()), Poll::Pending);
+        assert_eq!(hub.state.borrow().relay.owed(), 1);
+    })
+    .await;
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -146,7 +146,7 @@
     Ok(stop(&hub, accepting).await)
 }
 
-fn hub(config: &Config) -> Result<Rc<Hub>, StartError> {
+pub(crate) fn hub(config: &Config) -> Result<Rc<Hub>, StartError> {
     let (clock, budget, site) = (Clock::start(), Budget::new(&config.limits), &config.site);
     let relay = Relay::new(site.settings.clone(), config.seed, clock.now())?;
     Ok(Rc::new(Hub {
