Where all seats are taken, an idle client gives way as soon as one that says nothing

At fault: Seats::idle_grace, which gave an idle client 2 s while anyone who says nothing was there or anyone named had not left yet: 105 idle ones a second for 2 s fill 210 seats, and whoever asks waits unseen.

Now both give way after 0.25 s, first those that say nothing; the 2 s, the count of those named and the special case are gone.

--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -5,14 +5,12 @@
 
 /// Seconds within which a new connection must have brought its first whole request, or is let go.
 pub const FIRST_REQUEST: f64 = 2.5;
-/// Seconds after which a new connection that brought nothing whole may give way: its request may be on its way.
-const FRESH_GRACE: f64 = 0.25;
-/// Seconds after which a connection with no open request may give way, and after which it is let go.
-const IDLE_GRACE: f64 = 2.0;
+/// Seconds after which a connection with no open request may give way to a new one: its next request may be on its way.
+/// No longer, whatever else waits: whoever comes is unseen meanwhile and may give up there, and a client whose kept
+/// connection is closed between requests sends its next on a new one.
+const GRACE: f64 = 0.25;
+/// Seconds after which an idle connection is let go.
 const IDLE_MOST: f64 = 20.0;
-/// The same where nobody else can give way, as idle ones fill all seats: whoever comes waits unseen meanwhile, and a
-/// client whose kept connection is closed between requests sends its next on a new one.
-const CROWDED_GRACE: f64 = 0.25;
 /// The part of all seats that is cleared at once when none is free.
 const GIVE_WAY: usize = 8;
 
@@ -37,8 +35,6 @@
     seated: BTreeMap<SeatId, (Use, u64)>,
     /// Those that may give way, in the order in which they do.
     spare: BTreeSet<(Use, u64, SeatId)>,
-    /// Those that were named, and did not leave yet.
-    named: usize,
 }
 
 /// A connection's moment, so that it can be ordered: microseconds.
@@ -49,7 +45,7 @@
 impl Seats {
     /// At most `most` connections.
     pub fn new(most: usize) -> Self {
-        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new(), named: 0 }
+        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new() }
     }
 
     /// How many are seated.
@@ -85,8 +81,7 @@
     /// It is closed.
     pub fn leave(&mut self, id: SeatId) {
         if let Some((kind, since)) = self.seated.remove(&id) {
-            let named = !self.spare.remove(&(kind, since, id)) && kind != Use::Busy;
-            self.named -= usize::from(named);
+            self.spare.remove(&(kind, since, id));
         }
     }
 
@@ -99,11 +94,10 @@
                 gone.push(id);
             }
         }
-        let grace = self.idle_grace();
         // Several at once: where hundreds wait that say nothing, those that ask must not wait behind each.
         while !self.free() && gone.len() < self.most.div_ceil(GIVE_WAY) {
-            let fresh = self.longest(Use::Fresh, now - FRESH_GRACE);
-            let Some(id) = fresh.or_else(|| self.longest(Use::Idle, now - grace)) else { break };
+            let fresh = self.longest(Use::Fresh, now - GRACE);
+            let Some(id) = fresh.or_else(|| self.longest(Use::Idle, now - GRACE)) else { break };
             gone.push(id);
         }
         gone
@@ -113,7 +107,6 @@
     /// its time: the rest is on its way.
     pub fn unused(&mut self) -> Vec<SeatId> {
         let idle = self.spare.split_off(&(Use::Idle, 0, 0));
-        self.named += idle.len();
         idle.into_iter().map(|(_, _, id)| id).collect()
     }
 
@@ -123,18 +116,10 @@
             let (_, since, _) = self.spare.range((kind, 0, 0)..).next().filter(|s| s.0 == kind)?;
             Some(*since as f64 / 1e6 + stay)
         };
-        let (fresh, idle) =
-            if self.free() { (FIRST_REQUEST, IDLE_MOST) } else { (FRESH_GRACE, self.idle_grace()) };
+        let (fresh, idle) = if self.free() { (FIRST_REQUEST, IDLE_MOST) } else { (GRACE, GRACE) };
         first(Use::Fresh, fresh).into_iter().chain(first(Use::Idle, idle)).reduce(f64::min)
     }
 
-    /// How long an idle one stays where all seats are taken: who says nothing gives way before it, and who was named
-    /// makes room.
-    fn idle_grace(&self) -> f64 {
-        let silent = self.spare.first().is_some_and(|(kind, ..)| *kind == Use::Fresh);
-        if silent || self.named > 0 { IDLE_GRACE } else { CROWDED_GRACE }
-    }
-
     fn place(&mut self, now: Time, id: SeatId, kind: Use) {
         self.leave(id);
         let since = micros(now);
@@ -151,7 +136,6 @@
             return None;
         }
         self.spare.remove(&found);
-        self.named += 1;
         Some(found.2)
     }
 }
