Requests and answers of more than 64 KiB pass, within a bound on what is held in all

Ruled out: clients that are too slow (no 408 at all). At fault: MOST_BODY.

A body may hold 1 MiB now. What is held of all requests' bodies counts as it comes, not as it is announced, so that forty clients that announce a body and send none take nothing; answers are counted too, until they are written (before, their number bounded them). Each kind has a fifth of memory_mb; past that a request is answered 503, an attempt reset.

--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -9,7 +9,7 @@
 const RESERVE: f64 = 0.1;
 /// Share of what may be used that workers' connections may take; the rest is for clients.
 const WORKERS: f64 = 0.4;
-/// Share of the memory that requests' bodies may take together.
+/// Share of the memory that requests' bodies may take together, and answers' as much again.
 const BODIES: f64 = 0.2;
 
 /// Connections and bytes by kind of use.
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -1,6 +1,7 @@
 //! Clients' connections: one request after another, each with one answer.
 
-use crate::hub::{Hub, Reply};
+use crate::hub::{Hub, Reply, Whole};
+use crate::room::Held;
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
 use std::io::{self, Read};
@@ -13,7 +14,7 @@
 use weirusher_core::{Arrival, Final, SeatId};
 use weirusher_platform::client::{self, Asked, BadRequest, Demand};
 use weirusher_platform::worker::Passed;
-use weirusher_wire::body::{BodyReader, Framing};
+use weirusher_wire::body::BodyReader;
 use weirusher_wire::head::{HeadSearch, NO_HEADERS, request};
 
 /// Bytes of a connection's buffer, to begin with and again once it is empty.
@@ -79,40 +80,6 @@
     }
 }
 
-/// Room for a body, from its head on: dropped, it is free again.
-struct Held {
-    hub: Rc<Hub>,
-    bytes: usize,
-}
-
-impl Held {
-    fn take(hub: &Rc<Hub>, framing: Framing) -> Result<Self, BadRequest> {
-        let mut held = Self { hub: hub.clone(), bytes: 0 };
-        if let Framing::Length(bytes) = framing {
-            held.grow(bytes)?;
-        }
-        Ok(held)
-    }
-
-    /// Room for `bytes` in all, or an error: the bodies that are held, or on their way, leave none.
-    fn grow(&mut self, bytes: usize) -> Result<(), BadRequest> {
-        let more = bytes.saturating_sub(self.bytes);
-        let held = &mut self.hub.state.borrow_mut().body_bytes;
-        if *held + more > self.hub.budget.body_bytes {
-            return Err(BadRequest::NoRoom);
-        }
-        *held += more;
-        self.bytes += more;
-        Ok(())
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.hub.state.borrow_mut().body_bytes -= self.bytes;
-    }
-}
-
 /// A request whose client waits; dropped unanswered, the client has left.
 struct Open {
     hub: Rc<Hub>,
@@ -275,13 +242,17 @@
             Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
             Asked::Demand(demand) => demand,
         };
-        let mut held = Held::take(&self.seat.hub, demand.framing)?;
+        let mut held = self.seat.hub.requests.held();
         let mut reader = BodyReader::new(demand.framing, client::MOST_BODY);
         let body = loop {
-            if let Some(body) = reader.read(&mut self.buffer)? {
+            let body = reader.read(&mut self.buffer)?;
+            let bytes = body.as_ref().map_or(self.buffer.len() + reader.held(), Bytes::len);
+            if !held.grow(bytes) {
+                return Err(BadRequest::NoRoom);
+            }
+            if let Some(body) = body {
                 break body;
             }
-            held.grow(reader.held())?;
             if !self.more().await? {
                 return Ok(Next::End);
             }
@@ -355,7 +326,7 @@
     async fn write(&mut self, reply: Reply, close: bool) -> io::Result<()> {
         let mut out = BytesMut::with_capacity(128);
         let body = match reply {
-            Reply::Served(body) => {
+            Reply::Served(Whole { body, .. }) => {
                 client::write_served(&mut out, body.len(), close);
                 body
             }
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -2,6 +2,7 @@
 
 use crate::alarm::Alarm;
 use crate::budget::Budget;
+use crate::room::{Held, Room};
 use crate::worker;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -24,10 +25,17 @@
 /// Where a connection leads: a worker by name, at the address it has now.
 pub type Place = (ServerId, SocketAddr);
 
+/// A worker's answer, whole, and the room that it takes until it is written.
+#[derive(Debug)]
+pub struct Whole {
+    pub body: Bytes,
+    pub _held: Held,
+}
+
 /// What a client is answered.
 #[derive(Debug)]
 pub enum Reply {
-    Served(Bytes),
+    Served(Whole),
     Decided(Final),
 }
 
@@ -65,14 +73,16 @@
     pub leavers: HashMap<SeatId, Rc<Notify>>,
     pub calls: VecDeque<Call>,
     outputs: Vec<RelayOutput>,
-    /// Bytes of requests' bodies that are held.
-    pub body_bytes: usize,
 }
 
 pub struct Hub {
     pub clock: Clock,
     pub names: Names,
     pub budget: Budget,
+    /// For requests' bodies, from the first byte to the answer.
+    pub requests: Rc<Room>,
+    /// For answers' bodies, from the first byte to the last that is written.
+    pub answers: Rc<Room>,
     pub connect_timeout: f64,
     pub count_limit: f64,
     pub state: RefCell<State>,
@@ -106,7 +116,6 @@
             leavers: HashMap::new(),
             calls: VecDeque::new(),
             outputs: Vec::new(),
-            body_bytes: 0,
         }
     }
 }
@@ -141,13 +150,20 @@
         self.pump();
     }
 
-    /// An attempt ended.
-    pub fn ended(self: &Rc<Self>, job: &JobId, attempt: u32, status: Status, load: Load, body: Bytes) {
+    /// An attempt ended; one whose answer serves has it `whole`.
+    pub fn ended(
+        self: &Rc<Self>,
+        job: &JobId,
+        attempt: u32,
+        status: Status,
+        load: Load,
+        whole: Option<Whole>,
+    ) {
         {
             let state = &mut *self.state.borrow_mut();
             state.attempts.remove(&(job.clone(), attempt));
             if state.relay.ended(self.now(), job, attempt, status, load) {
-                state.reply(job, Reply::Served(body));
+                state.reply(job, whole.map_or(Reply::Decided(Final::Failed), Reply::Served));
             }
         }
         self.pump();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,6 +4,7 @@
 use crate::budget::Budget;
 use crate::counter::Counter;
 use crate::hub::{Hub, State};
+use crate::room::Room;
 use crate::{client, discovery};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -153,6 +154,8 @@
         clock,
         names: Names::new(site),
         budget,
+        requests: Room::new(budget.body_bytes),
+        answers: Room::new(budget.body_bytes),
         connect_timeout: site.settings.connect_limit,
         count_limit: site.settings.count_limit,
         state: RefCell::new(State::new(relay, &budget, IDLE_MARGIN * site.conn_idle)),
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -1,6 +1,7 @@
 //! One attempt over one connection of its own, which goes back to the pool only when nothing is left on it.
 
-use crate::hub::{Hub, Place};
+use crate::hub::{Hub, Place, Whole};
+use crate::room::Held;
 use bytes::{Bytes, BytesMut};
 use std::cell::Cell;
 use std::io;
@@ -71,15 +72,15 @@
 
 /// Makes the attempt and tells its end.
 pub async fn run(hub: Rc<Hub>, attempt: Attempt) {
-    let (status, load, body) = match attempt.address {
-        None => (Status::Moot, Load::default(), Bytes::new()),
+    let (status, load, whole) = match attempt.address {
+        None => (Status::Moot, Load::default(), None),
         Some(address) => exchange(&hub, &attempt, (attempt.server.clone(), address)).await,
     };
-    hub.ended(&attempt.job, attempt.attempt, status, load, body);
+    hub.ended(&attempt.job, attempt.attempt, status, load, whole);
 }
 
-async fn exchange(hub: &Rc<Hub>, attempt: &Attempt, place: Place) -> (Status, Load, Bytes) {
-    let nothing = |status| (status, Load::default(), Bytes::new());
+async fn exchange(hub: &Rc<Hub>, attempt: &Attempt, place: Place) -> (Status, Load, Option<Whole>) {
+    let nothing = |status| (status, Load::default(), None);
     let began = hub.now();
     if began > hub.current_until.get() {
         // The list ends this one, where it tells that the worker leaves.
@@ -109,15 +110,16 @@
         Err(_) => return nothing(Status::Moot),
     }
     buffer.clear();
-    match read(stream, &mut buffer).await {
+    let mut held = hub.answers.held();
+    match read(stream, &mut buffer, &mut held).await {
         Ok(Some(response)) => {
             let report = response.report.as_deref().map(load).unwrap_or_default();
             if !response.closes && buffer.is_empty() {
                 lease.keep(place);
             }
-            (outcome(&response), report, response.body)
+            (outcome(&response), report, Some(Whole { body: response.body, _held: held }))
         }
-        // Broken off, or spoilt: it may have run.
+        // Broken off, spoilt, or too long to be held: it may have run.
         Ok(None) | Err(_) => nothing(Status::Reset),
     }
 }
@@ -168,7 +170,11 @@
 }
 
 /// The answer, whole; `None`: the connection ended before. A reset is an error, and no answer's end.
-async fn read(stream: &mut TcpStream, buffer: &mut BytesMut) -> io::Result<Option<Response>> {
+async fn read(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    held: &mut Held,
+) -> io::Result<Option<Response>> {
     let mut reader = ResponseReader::new(MOST_ANSWER);
     loop {
         let more = stream.read_buf(buffer);
@@ -178,6 +184,10 @@
             return Ok(reader.ended());
         }
         let read = reader.read(buffer).map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))?;
+        let bytes = read.as_ref().map_or(buffer.len() + reader.held(), |response| response.body.len());
+        if !held.grow(bytes) {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
         if read.is_some() {
             return Ok(read);
         }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,8 +7,8 @@
 use weirusher_wire::head::{Fields, RequestHead};
 use weirusher_wire::http1::HttpError;
 
-/// Most bytes of a request's body.
-pub const MOST_BODY: usize = 64 * 1024;
+/// Most bytes of a request's body. The protocol page has 64 KiB, the later one some that are longer.
+pub const MOST_BODY: usize = 1024 * 1024;
 /// Most bytes of a request's id.
 pub const MOST_ID: usize = 64;
 /// Hex digits of a customer, and the bound on its number.
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -44,6 +44,11 @@
         self.begun
     }
 
+    /// Bytes of its body that it holds, beside those that wait in `src`.
+    pub fn held(&self) -> usize {
+        self.head.as_ref().map_or(0, |(_, body)| body.held())
+    }
+
     /// The next answer, once all of it is there.
     ///
     /// # Errors
