The socket itself is asked where bytes may cross a close: workers at rest, clients told to leave

Read after the client that went unseen: quiet() in worker.rs and the leave branch of more() in client.rs asked the runtime, which answers 'nothing' without a look while it was told of nothing since its last short read. A worker's end, reset or half a line that came since the last turn was written over; a request that came as its connection was told to leave was closed over unread, a reset for its client, which sends it again.

Both ask the socket now. The tests hold the runtime between the arrival and its next turn, on real sockets: without the mends both fail ('its end, which the runtime was not told of yet'; 'left: Ready(()), right: Pending').

--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -223,11 +223,13 @@
             read = self.stream.read_buf(&mut self.buffer) => read,
             () = self.leave.notified() => {
                 // What came just now is served: the client could not know.
-                match self.stream.try_read_buf(&mut self.buffer) {
-                    Ok(1..) => return Ok(true),
-                    _ if self.buffer.is_empty() => return Ok(false),
-                    _ => return Err(BadRequest::Slow),
-                }
+                let before = self.buffer.len();
+                let gone = stays(read_ahead(&self.stream, &mut self.buffer)).is_err();
+                return match self.buffer.len() {
+                    after if after > before && !gone => Ok(true),
+                    0 => Ok(false),
+                    _ => Err(BadRequest::Slow),
+                };
             }
         };
         Ok(matches!(read, Ok(1..)))
--- a/crates/node/src/client/tests.rs
+++ b/crates/node/src/client/tests.rs
@@ -31,8 +31,10 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
     let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    client.write_all(bytes.as_bytes()).unwrap();
-    stream.readable().await.unwrap();
+    if !bytes.is_empty() {
+        client.write_all(bytes.as_bytes()).unwrap();
+        stream.readable().await.unwrap();
+    }
     let seat = Seat { hub: hub.clone(), id: 1 };
     (Connection::new(seat, stream, Rc::new(Notify::new())), client)
 }
@@ -96,3 +98,19 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_request_that_comes_as_its_connection_is_told_to_leave_is_read() {
+    on_one_thread(async |hub| {
+        let (connection, mut client) = connected(&hub, "").await;
+        let leave = connection.leave.clone();
+        let mut serve = std::pin::pin!(connection.serve());
+        assert_eq!(once(serve.as_mut()), Poll::Pending, "it rests");
+        // Both before the runtime hears of either.
+        client.write_all(request(0).as_bytes()).unwrap();
+        leave.notify_one();
+        assert_eq!(once(serve.as_mut()), Poll::Pending);
+        assert_eq!(hub.state.borrow().relay.owed(), 1);
+    })
+    .await;
+}
--- a/crates/node/src/worker.rs
+++ b/crates/node/src/worker.rs
@@ -3,8 +3,10 @@
 use crate::hub::{Hub, Place, Whole};
 use crate::room::Held;
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -157,9 +159,11 @@
     Ok(lease)
 }
 
-/// Whether nothing at all is to be read from a connection, its end included.
+/// Whether nothing at all is to be read from a connection, its end included. The socket is asked itself: the runtime
+/// knows only of what was there as it last asked the system.
 fn quiet(stream: &TcpStream) -> bool {
-    matches!(stream.try_read(&mut [0; 1]), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    let read = SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]);
+    matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
 }
 
 async fn write(stream: &mut TcpStream, head: &mut BytesMut, body: Bytes) -> io::Result<()> {
@@ -193,3 +197,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
