--- a/crates/cli/tests/node/clients.rs
+++ b/crates/cli/tests/node/clients.rs
@@ -173,7 +173,7 @@
 }
 
 #[tokio::test]
-async fn a_client_that_does_not_read_holds_its_seat_for_a_while_only() {
+async fn a_client_that_does_not_read_holds_its_slot_for_a_while_only() {
     let site = Site::start(1).await;
     site.workers[0].set_script(|_| Reply::ok(&"x".repeat(60_000)));
     let mut deaf = narrow(&site).await;
--- a/crates/cli/tests/node/ends.rs
+++ b/crates/cli/tests/node/ends.rs
@@ -59,7 +59,7 @@
 #[tokio::test]
 async fn told_to_stop_it_takes_on_whoever_waits_to_be_accepted() {
     let site = Site::with(1, 64, &[]).await;
-    // More than it has seats for, each for the while that a silent one is borne: one that asks waits behind them.
+    // More than it has slots for, each for the while that a silent one is borne: one that asks waits behind them.
     let mut silent = Vec::new();
     for _ in 0..200 {
         silent.push(site.client().await);
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/slots.rs
@@ -11,11 +11,11 @@
 const GRACE: f64 = 0.25;
 /// Seconds after which an idle connection is let go.
 const IDLE_MOST: f64 = 20.0;
-/// The part of all seats that is cleared at once when none is free.
+/// The part of all slots that is cleared at once when none is free.
 const GIVE_WAY: usize = 8;
 
 /// Names a connection.
-pub type SeatId = u64;
+pub type SlotId = u64;
 
 /// What a connection is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,11 +30,11 @@
 
 /// Clients' connections, in a bounded number.
 #[derive(Debug)]
-pub struct Seats {
+pub struct Slots {
     most: usize,
-    seated: BTreeMap<SeatId, (Use, u64)>,
+    taken: BTreeMap<SlotId, (Use, u64)>,
     /// Those that may give way, in the order in which they do.
-    spare: BTreeSet<(Use, u64, SeatId)>,
+    spare: BTreeSet<(Use, u64, SlotId)>,
 }
 
 /// A connection's moment, so that it can be ordered: microseconds.
@@ -42,52 +42,52 @@
     (at * 1e6) as u64
 }
 
-impl Seats {
+impl Slots {
     /// At most `most` connections.
     pub fn new(most: usize) -> Self {
-        Self { most, seated: BTreeMap::new(), spare: BTreeSet::new() }
+        Self { most, taken: BTreeMap::new(), spare: BTreeSet::new() }
     }
 
-    /// How many are seated.
+    /// How many are taken.
     pub fn len(&self) -> usize {
-        self.seated.len()
+        self.taken.len()
     }
 
     /// Whether none is.
     pub fn is_empty(&self) -> bool {
-        self.seated.is_empty()
+        self.taken.is_empty()
     }
 
     /// Whether one more may be accepted.
     pub fn free(&self) -> bool {
-        self.seated.len() < self.most
+        self.taken.len() < self.most
     }
 
     /// A connection was accepted.
-    pub fn sit(&mut self, now: Time, id: SeatId) {
+    pub fn take(&mut self, now: Time, id: SlotId) {
         self.place(now, id, Use::Fresh);
     }
 
     /// Its request is open.
-    pub fn busy(&mut self, now: Time, id: SeatId) {
+    pub fn busy(&mut self, now: Time, id: SlotId) {
         self.place(now, id, Use::Busy);
     }
 
     /// Its request is answered.
-    pub fn idle(&mut self, now: Time, id: SeatId) {
+    pub fn idle(&mut self, now: Time, id: SlotId) {
         self.place(now, id, Use::Idle);
     }
 
     /// It is closed.
-    pub fn leave(&mut self, id: SeatId) {
-        if let Some((kind, since)) = self.seated.remove(&id) {
+    pub fn leave(&mut self, id: SlotId) {
+        if let Some((kind, since)) = self.taken.remove(&id) {
             self.spare.remove(&(kind, since, id));
         }
     }
 
-    /// The connections to let go: those that have overstayed, and where all seats are taken those that
-    /// were of no use for longest. They stay seated until they leave, and are not named again.
-    pub fn overdue(&mut self, now: Time) -> Vec<SeatId> {
+    /// The connections to let go: those that have overstayed, and where all slots are taken those that
+    /// were of no use for longest. They stay taken until they leave, and are not named again.
+    pub fn overdue(&mut self, now: Time) -> Vec<SlotId> {
         let mut gone = Vec::new();
         for (kind, most) in [(Use::Fresh, FIRST_REQUEST), (Use::Idle, IDLE_MOST)] {
             while let Some(id) = self.longest(kind, now - most) {
@@ -105,12 +105,12 @@
 
     /// All that had a request and have none now: at the end. One that is new, or has brought half a request, keeps
     /// its time: the rest is on its way.
-    pub fn unused(&mut self) -> Vec<SeatId> {
+    pub fn unused(&mut self) -> Vec<SlotId> {
         let idle = self.spare.split_off(&(Use::Idle, 0, 0));
         idle.into_iter().map(|(_, _, id)| id).collect()
     }
 
-    /// When [`Seats::overdue`] next has something to say.
+    /// When [`Slots::overdue`] next has something to say.
     pub fn next_overdue(&self) -> Option<Time> {
         let first = |kind, stay: f64| {
             let (_, since, _) = self.spare.range((kind, 0, 0)..).next().filter(|s| s.0 == kind)?;
@@ -120,17 +120,17 @@
         first(Use::Fresh, fresh).into_iter().chain(first(Use::Idle, idle)).reduce(f64::min)
     }
 
-    fn place(&mut self, now: Time, id: SeatId, kind: Use) {
+    fn place(&mut self, now: Time, id: SlotId, kind: Use) {
         self.leave(id);
         let since = micros(now);
-        self.seated.insert(id, (kind, since));
+        self.taken.insert(id, (kind, since));
         if kind != Use::Busy {
             self.spare.insert((kind, since, id));
         }
     }
 
     /// Takes the longest of a kind off those that may give way, if it is so since `before`.
-    fn longest(&mut self, kind: Use, before: Time) -> Option<SeatId> {
+    fn longest(&mut self, kind: Use, before: Time) -> Option<SlotId> {
         let found = *self.spare.range((kind, 0, 0)..).next()?;
         if found.0 != kind || found.1 > micros(before) {
             return None;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use weirusher::JobId;
-use weirusher_core::{Arrival, Final, SeatId};
+use weirusher_core::{Arrival, Final, SlotId};
 use weirusher_platform::client::{self, Asked, BadRequest, Demand};
 use weirusher_platform::worker::Passed;
 use weirusher_wire::body::BodyReader;
@@ -26,16 +26,16 @@
 /// What is still read after the last answer, and for how long: a close over unread bytes is a reset, which may
 /// destroy the answer on its way.
 const LINGER: (usize, Duration) = (256 * 1024, Duration::from_millis(300));
-/// The longest that a client may take to read an answer: one that does not read holds its seat for no longer.
+/// The longest that a client may take to read an answer: one that does not read holds its slot for no longer.
 const UNREAD: Duration = Duration::from_millis(2500);
 
-/// Accepts connections while there are seats, until the last is called for and nobody waits.
+/// Accepts connections while there are slots, until the last is called for and nobody waits.
 pub async fn listen(hub: Rc<Hub>, listener: TcpListener) {
-    let mut next: SeatId = 0;
+    let mut next: SlotId = 0;
     loop {
-        while !hub.state.borrow().seats.free() {
-            hub.idlers.set(hub.state.borrow().seats.next_overdue());
-            hub.seat.notified().await;
+        while !hub.state.borrow().slots.free() {
+            hub.idlers.set(hub.state.borrow().slots.next_overdue());
+            hub.slot.notified().await;
         }
         let accepted = tokio::select! {
             // First those that wait: a connection that was made is not reset with its request on it.
@@ -56,27 +56,27 @@
         let leave = Rc::new(Notify::new());
         {
             let state = &mut *hub.state.borrow_mut();
-            state.seats.sit(hub.now(), next);
+            state.slots.take(hub.now(), next);
             state.leavers.insert(next, leave.clone());
-            hub.idlers.set(state.seats.next_overdue());
+            hub.idlers.set(state.slots.next_overdue());
         }
-        let seat = Seat { hub: hub.clone(), id: next };
-        tokio::task::spawn_local(Connection::new(seat, stream, leave).serve());
+        let slot = Slot { hub: hub.clone(), id: next };
+        tokio::task::spawn_local(Connection::new(slot, stream, leave).serve());
     }
 }
 
-/// A seat taken; dropped, it is free again.
-struct Seat {
+/// A slot taken; dropped, it is free again.
+struct Slot {
     hub: Rc<Hub>,
-    id: SeatId,
+    id: SlotId,
 }
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
         let state = &mut *self.hub.state.borrow_mut();
-        state.seats.leave(self.id);
+        state.slots.leave(self.id);
         state.leavers.remove(&self.id);
-        self.hub.seat.notify_one();
+        self.hub.slot.notify_one();
     }
 }
 
@@ -125,7 +125,7 @@
 }
 
 struct Connection {
-    seat: Seat,
+    slot: Slot,
     stream: TcpStream,
     leave: Rc<Notify>,
     buffer: BytesMut,
@@ -133,9 +133,9 @@
 }
 
 impl Connection {
-    fn new(seat: Seat, stream: TcpStream, leave: Rc<Notify>) -> Self {
+    fn new(slot: Slot, stream: TcpStream, leave: Rc<Notify>) -> Self {
         let (buffer, search) = (BytesMut::with_capacity(BUFFER), HeadSearch::default());
-        Self { seat, stream, leave, buffer, search }
+        Self { slot, stream, leave, buffer, search }
     }
 
     async fn serve(mut self) {
@@ -171,7 +171,7 @@
             Ok(Next::Ready { closes }) => {
                 let close = closes || self.stopping();
                 let mut out = BytesMut::new();
-                client::write_ready(&mut out, self.seat.hub.ready.get() && !self.stopping(), close);
+                client::write_ready(&mut out, self.slot.hub.ready.get() && !self.stopping(), close);
                 self.put(out).await?;
                 self.answered(close).await
             }
@@ -184,16 +184,16 @@
     }
 
     fn stopping(&self) -> bool {
-        self.seat.hub.stopping.get()
+        self.slot.hub.stopping.get()
     }
 
     fn idle(&mut self) {
         if self.buffer.is_empty() && self.buffer.capacity() != BUFFER {
             self.buffer = BytesMut::with_capacity(BUFFER);
         }
-        let state = &mut *self.seat.hub.state.borrow_mut();
-        state.seats.idle(self.seat.hub.now(), self.seat.id);
-        self.seat.hub.idlers.set(state.seats.next_overdue());
+        let state = &mut *self.slot.hub.state.borrow_mut();
+        state.slots.idle(self.slot.hub.now(), self.slot.id);
+        self.slot.hub.idlers.set(state.slots.next_overdue());
     }
 
     // ---- Reading ----
@@ -207,8 +207,8 @@
             if !partial && !self.buffer.is_empty() {
                 // Half a request has as long as a new connection has.
                 partial = true;
-                let hub = &self.seat.hub;
-                hub.state.borrow_mut().seats.sit(hub.now(), self.seat.id);
+                let hub = &self.slot.hub;
+                hub.state.borrow_mut().slots.take(hub.now(), self.slot.id);
             }
             if !self.more().await? {
                 return Ok(Next::End);
@@ -240,11 +240,11 @@
         let head = self.buffer.split_to(end);
         let mut slots = NO_HEADERS;
         let parsed = request(&head, &mut slots)?;
-        let demand = match client::read(&self.seat.hub.names, &parsed)? {
+        let demand = match client::read(&self.slot.hub.names, &parsed)? {
             Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
             Asked::Demand(demand) => demand,
         };
-        let mut held = self.seat.hub.requests.held();
+        let mut held = self.slot.hub.requests.held();
         let mut reader = BodyReader::new(demand.framing, client::MOST_BODY);
         let body = loop {
             let body = reader.read(&mut self.buffer)?;
@@ -267,14 +267,14 @@
 
     async fn request(&mut self, demand: Demand, passed: Passed) -> io::Result<bool> {
         stays(read_ahead(&self.stream, &mut self.buffer))?;
-        let hub = self.seat.hub.clone();
+        let hub = self.slot.hub.clone();
         let Demand { job, customer, class, plan, units, spread, patience, repeat, closes, .. } = demand;
         {
             let state = &mut *hub.state.borrow_mut();
-            state.seats.busy(hub.now(), self.seat.id);
-            if !state.seats.free() {
+            state.slots.busy(hub.now(), self.slot.id);
+            if !state.slots.free() {
                 // One that was to give way may be it: another has to.
-                hub.idlers.set(state.seats.next_overdue());
+                hub.idlers.set(state.slots.next_overdue());
             }
         }
         let arrival = Arrival { job: job.clone(), customer, plan, class, units, patience, spread, repeat };
--- a/crates/node/src/client/tests.rs
+++ b/crates/node/src/client/tests.rs
@@ -35,8 +35,8 @@
         client.write_all(bytes.as_bytes()).unwrap();
         stream.readable().await.unwrap();
     }
-    let seat = Seat { hub: hub.clone(), id: 1 };
-    (Connection::new(seat, stream, Rc::new(Notify::new())), client)
+    let slot = Slot { hub: hub.clone(), id: 1 };
+    (Connection::new(slot, stream, Rc::new(Notify::new())), client)
 }
 
 /// Runs a connection as far as it comes while the runtime hears nothing new from the system.
--- a/crates/node/src/hub.rs
+++ b/crates/node/src/hub.rs
@@ -14,7 +14,7 @@
 use tokio::task::AbortHandle;
 use weirusher::{JobId, Load, ServerId, Status};
 use weirusher_clock::Clock;
-use weirusher_core::{Arrival, Ask, Final, Pool, Relay, RelayOutput, SeatId, Seats};
+use weirusher_core::{Arrival, Ask, Final, Pool, Relay, RelayOutput, SlotId, Slots};
 use weirusher_platform::client::Names;
 use weirusher_platform::list::Told;
 use weirusher_platform::worker::Passed;
@@ -69,8 +69,8 @@
     pub pool: Pool<Place, TcpStream>,
     /// Where workers listen that take what is new.
     addresses: HashMap<ServerId, SocketAddr>,
-    pub seats: Seats,
-    pub leavers: HashMap<SeatId, Rc<Notify>>,
+    pub slots: Slots,
+    pub leavers: HashMap<SlotId, Rc<Notify>>,
     pub calls: VecDeque<Call>,
     outputs: Vec<RelayOutput>,
 }
@@ -92,8 +92,8 @@
     pub idlers: Alarm,
     /// There are calls for the counter.
     pub called: Notify,
-    /// A client's seat came free.
-    pub seat: Notify,
+    /// A client's slot came free.
+    pub slot: Notify,
     /// No connection is accepted any more, once nobody waits.
     pub last: Notify,
     /// A list is held, and requests may be decided on.
@@ -112,7 +112,7 @@
             attempts: HashMap::new(),
             pool: Pool::new(budget.workers, idle),
             addresses: HashMap::new(),
-            seats: Seats::new(budget.clients),
+            slots: Slots::new(budget.clients),
             leavers: HashMap::new(),
             calls: VecDeque::new(),
             outputs: Vec::new(),
@@ -303,7 +303,7 @@
     }
 
     /// Tells clients' connections to go.
-    pub fn let_go(&self, ids: &[SeatId]) {
+    pub fn let_go(&self, ids: &[SlotId]) {
         ids.iter().filter_map(|id| self.leavers.get(id)).for_each(|leave| leave.notify_one());
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -162,7 +162,7 @@
         timers: Alarm::default(),
         idlers: Alarm::default(),
         called: Notify::new(),
-        seat: Notify::new(),
+        slot: Notify::new(),
         last: Notify::new(),
         ready: Cell::new(false),
         current_until: Cell::new(f64::NEG_INFINITY),
@@ -242,13 +242,13 @@
     loop {
         let due = {
             let state = hub.state.borrow();
-            state.pool.next_prune().into_iter().chain(state.seats.next_overdue()).reduce(f64::min)
+            state.pool.next_prune().into_iter().chain(state.slots.next_overdue()).reduce(f64::min)
         };
         hub.idlers.ring(&hub.clock, due).await;
         let state = &mut *hub.state.borrow_mut();
         let now = hub.now();
         state.pool.prune(now, |_| true); // What comes back is dropped.
-        let overdue = state.seats.overdue(now);
+        let overdue = state.slots.overdue(now);
         state.let_go(&overdue);
     }
 }
@@ -259,14 +259,14 @@
     tracing::info!(owed = hub.state.borrow().relay.owed(), "stopping");
     {
         let state = &mut *hub.state.borrow_mut();
-        let unused = state.seats.unused();
+        let unused = state.slots.unused();
         state.let_go(&unused);
     }
     tokio::time::sleep(LAST_ACCEPTS).await;
     hub.last.notify_one();
     let settled = async {
         let _ = accepting.await; // It ends once nobody waits to be accepted.
-        while hub.state.borrow().relay.owed() > 0 || !hub.state.borrow().seats.is_empty() {
+        while hub.state.borrow().relay.owed() > 0 || !hub.state.borrow().slots.is_empty() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
