--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
-use weirusher_standins::{Agent, Reply, Scripted, counting, frame};
+use weirusher_standins::{Agent, Came, Reply, Scripted, counting, frame};
 
 #[tokio::test]
 async fn a_drained_worker_gets_nothing_new_and_a_new_one_at_its_address_no_old_connection() {
@@ -44,6 +44,48 @@
     assert!(last <= STOP_WITHIN, "{last} s after it was told");
 }
 
+#[tokio::test]
+async fn lists_that_end_with_their_connection_are_followed() {
+    // Each answer closes: by its head, by its end alone, and in chunks.
+    let site = Site::start(2).await;
+    let serving = site.workers[0].address;
+    let (asked, workers) = (Arc::new(AtomicUsize::new(0)), list(3, &[("s-0", serving, "SERVING")]));
+    let lister = Scripted::start(ANYWHERE, {
+        let asked = asked.clone();
+        move |_| {
+            let nth = asked.fetch_add(1, Ordering::Relaxed);
+            let chunks = format!("{:x}\r\n{workers}\r\n0\r\n\r\n", workers.len());
+            Reply::Last(match nth % 3 {
+                0 => frame(200, "Connection: close\r\n", &workers),
+                1 => format!("HTTP/1.1 200 OK\r\n\r\n{workers}").into(),
+                _ => format!(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n{chunks}"
+                )
+                .into(),
+            })
+        }
+    })
+    .await
+    .unwrap();
+    let moved = configuration(site.listen, lister.address, site.counter.address, 256);
+    std::fs::write(&site.file, moved).unwrap();
+    site.signal(nix::sys::signal::Signal::SIGHUP);
+    // Asked on after each kind of answer: what came was taken, and its version is asked from.
+    lister.wait_for(7).await;
+    let since = |came: &Came| came.request.path.contains("since=3");
+    assert!(
+        lister.came()[1..7].iter().all(since),
+        "{:?}",
+        lister.came()[..7].iter().map(|c| &c.request.path).collect::<Vec<_>>()
+    );
+    let mut client = site.client().await;
+    let before = site.workers[1].came().len();
+    for _ in 0..8 {
+        assert_eq!(client.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+    }
+    assert_eq!(site.workers[1].came().len(), before, "it is gone from the list");
+}
+
 #[tokio::test]
 async fn a_drain_that_an_open_watch_misses_is_kept() {
     let site = Site::start(2).await;
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -82,6 +82,18 @@
         sockets: usize,
         others: &[(&str, SocketAddr)],
         change: impl FnOnce(String) -> String,
+    ) -> Self {
+        let site = Self::unready(workers, sockets, others, change).await;
+        site.ready().await;
+        site
+    }
+
+    /// The same, not waited for.
+    pub async fn unready(
+        workers: usize,
+        sockets: usize,
+        others: &[(&str, SocketAddr)],
+        change: impl FnOnce(String) -> String,
     ) -> Self {
         let mut started = Vec::new();
         for _ in 0..workers {
@@ -107,9 +119,7 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let site = Self { child, listen, workers: started, counter, discovery, file, _dir: dir };
-        site.ready().await;
-        site
+        Self { child, listen, workers: started, counter, discovery, file, _dir: dir }
     }
 
     /// Asked as the front does, until it is ready.
--- a/crates/cli/tests/node/workers.rs
+++ b/crates/cli/tests/node/workers.rs
@@ -104,6 +104,30 @@
     assert_eq!((site.workers[0].connections(), site.counter.connections()), (1, 1));
 }
 
+#[tokio::test]
+async fn an_answer_that_trickles_past_the_client_s_time_is_a_failure_in_time_and_holds_nobody() {
+    let site = Site::start(1).await;
+    let pause = Duration::from_millis(20);
+    site.workers[0].set_script(move |request| match echo(request) {
+        Reply::Bytes(bytes) => {
+            Reply::Trickle(pause, [&bytes[..15], &[b' '; 400], &bytes[15..]].concat().into())
+        }
+        other => other,
+    });
+    let (patience, mut client) = (1000, site.client().await);
+    let asked = tokio::time::Instant::now();
+    let (status, ..) = client.ask(&store(&id(), "x").replace("3000m", "1000m")).await.unwrap();
+    assert!(status >= 500 && status != 503, "it may have run: {status}");
+    assert!(asked.elapsed() < 5 * Duration::from_millis(patience), "{:?}", asked.elapsed());
+    // One that comes in time, however slowly, serves.
+    site.workers[0].set_script(|request| match echo(request) {
+        Reply::Bytes(bytes) => Reply::Trickle(Duration::from_millis(2), bytes),
+        other => other,
+    });
+    let id = id();
+    assert_eq!(client.ask(&request(&id, "iso", 20_000)).await.unwrap().2, format!("done {id}"));
+}
+
 #[tokio::test]
 async fn an_answer_of_two_lengths_serves_nobody() {
     spoilt(|_| Reply::Bytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk".into()))
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -26,6 +26,8 @@
     Bytes(Bytes),
     /// These bytes after so long.
     After(Duration, Bytes),
+    /// These bytes, one by one, with so long between two.
+    Trickle(Duration, Bytes),
     /// These bytes, and the same again after so long.
     Twice(Duration, Bytes),
     /// These bytes, once the gate is open.
@@ -161,6 +163,15 @@
             tokio::time::sleep(pause).await;
             stream.write_all(&bytes).await.is_ok()
         }
+        Reply::Trickle(pause, bytes) => {
+            for byte in bytes {
+                if stream.write_all(&[byte]).await.is_err() {
+                    return false;
+                }
+                tokio::time::sleep(pause).await;
+            }
+            true
+        }
         Reply::Twice(pause, bytes) => {
             let once = stream.write_all(&bytes).await.is_ok();
             tokio::time::sleep(pause).await;
