A discovery that answers at once and tells nothing new is asked once in 10 ms, not in a loop

Found by writing the test for lists that close their connection: a watch that answers at once, whatever wait it is asked for, was asked again at once: 20 calls in 7 ms (debug build), a loop that takes the whole core for as long as it lasts. At fault: Follower::ended, which asks on without a look at how soon the answer came. A call behind an answer that came before half of its wait and moved no version now waits 10 ms; a watch lasts as long as the next call comes within 200 ms, and the lateness that a watch allows is never less than that. The test counts 20 calls in 200 ms at least; without the mend it fails.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -86,6 +86,21 @@
     assert_eq!(site.workers[1].came().len(), before, "it is gone from the list");
 }
 
+#[tokio::test]
+async fn a_discovery_that_answers_at_once_and_tells_nothing_keeps_nobody_busy() {
+    let site = Site::start(1).await;
+    let workers = list(3, &[("s-0", site.workers[0].address, "SERVING")]);
+    let lister = Scripted::start(ANYWHERE, move |_| Reply::ok(&workers)).await.unwrap();
+    let moved = configuration(site.listen, lister.address, site.counter.address, 256);
+    std::fs::write(&site.file, moved).unwrap();
+    site.signal(nix::sys::signal::Signal::SIGHUP);
+    lister.wait_for(22).await;
+    let came = lister.came();
+    let took = came[21].at - came[1].at;
+    assert!(took >= 20 * Duration::from_millis(10), "20 calls in {took:?}");
+    assert_eq!(site.client().await.ask(&request(&id(), "iso", 3000)).await.unwrap().0, 200);
+}
+
 #[tokio::test]
 async fn a_drain_that_an_open_watch_misses_is_kept() {
     let site = Site::start(2).await;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -15,6 +16,10 @@
 use weirusher_platform::list::{Held, MOST_LIST};
 use weirusher_platform::response::ResponseReader;
 
+/// The pause behind an answer that came at once and told nothing new: one that always does keeps nobody busy, and its
+/// watch lasts, as the next call comes in time.
+const NO_NEWS: Duration = Duration::from_millis(10);
+
 /// A call's answer and the connection it came on, where that goes on.
 type Answer = (Option<TcpStream>, BytesMut);
 
@@ -27,6 +32,8 @@
     calls: JoinSet<(LineId, io::Result<Answer>)>,
     tasks: HashMap<LineId, AbortHandle>,
     begun: UnboundedSender<LineId>,
+    /// When the last call was made.
+    asked: f64,
     /// What went wrong last, so that it is logged once and not for every call.
     trouble: String,
 }
@@ -37,7 +44,8 @@
     let watch = ListWatch::new(hub.now(), terms, seed);
     let (calls, tasks) = (JoinSet::new(), HashMap::new());
     let held = Held::new(zones);
-    Follower { hub, address, watch, held, calls, tasks, begun, trouble: String::new() }.follow(told).await;
+    let (asked, trouble) = (f64::NEG_INFINITY, String::new());
+    Follower { hub, address, watch, held, calls, tasks, begun, asked, trouble }.follow(told).await;
 }
 
 impl Follower {
@@ -69,7 +77,7 @@
                     if !self.tasks.is_empty() {
                         self.note("no answer in time".into());
                     }
-                    self.call(line, None, Held::WHOLE.to_string());
+                    self.call(line, None, Held::WHOLE.to_string(), Duration::ZERO);
                 }
                 WatchStep::Close(line) => {
                     if let Some(task) = self.tasks.remove(&line) {
@@ -80,10 +88,15 @@
         }
     }
 
-    fn call(&mut self, line: LineId, stream: Option<TcpStream>, target: String) {
+    fn call(&mut self, line: LineId, stream: Option<TcpStream>, target: String, pause: Duration) {
         let (address, begun) = (self.address, self.begun.clone());
-        let task =
-            self.calls.spawn_local(async move { (line, ask(line, stream, address, target, begun).await) });
+        self.asked = self.hub.now() + pause.as_secs_f64();
+        let task = self.calls.spawn_local(async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            (line, ask(line, stream, address, target, begun).await)
+        });
         self.tasks.insert(line, task);
     }
 
@@ -96,6 +109,7 @@
             Ok(answer) => answer,
             Err(error) => return self.failed(line, error.to_string()),
         };
+        let version = self.held.version();
         match self.held.take(&body) {
             Ok(Some(told)) => {
                 let now = self.hub.now();
@@ -109,7 +123,9 @@
                 if told.kind != ListKind::Changes || !told.workers.is_empty() {
                     self.hub.list(told);
                 }
-                self.call(line, stream, self.held.target(self.watch.wait()));
+                let waited = now - self.asked >= self.watch.wait() / 2.0;
+                let pause = if waited || self.held.version() != version { Duration::ZERO } else { NO_NEWS };
+                self.call(line, stream, self.held.target(self.watch.wait()), pause);
             }
             Ok(None) => self.failed(line, "changes to an older list than the one that is held".into()),
             Err(error) => self.failed(line, error.to_string()),
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -96,6 +96,11 @@
         Self { index: None, zones }
     }
 
+    /// The version of the list that is held.
+    pub fn version(&self) -> Option<u64> {
+        self.index
+    }
+
     /// The target to ask next: the whole list first, then what is newer, waited for `wait` seconds.
     pub fn target(&self, wait: f64) -> String {
         match self.index {
