--- /dev/null
+++ b/crates/wire/tests/http1.rs
@@ -0,0 +1,60 @@
+//! Messages with bodies of a stated length: read as they were written, never past a bound.
+
+use bytes::BytesMut;
+use proptest::prelude::*;
+use tokio_util::codec::{Decoder, Encoder};
+use weirusher_wire::http1::{ClientCodec, Headers, HttpError, MOST_HEAD, MOST_HEADERS, Request, ServerCodec};
+
+fn decode(text: &str) -> Result<Option<Request>, HttpError> {
+    ServerCodec::default().decode(&mut BytesMut::from(text))
+}
+
+#[test]
+fn bodies_of_two_lengths_or_none_that_is_a_number_are_refused() {
+    for length in
+        ["content-length: 3\r\ncontent-length: 4", "content-length: +3", "transfer-encoding: chunked"]
+    {
+        assert!(matches!(decode(&format!("GET / HTTP/1.1\r\n{length}\r\n\r\n")), Err(HttpError::Length)));
+    }
+    assert!(matches!(
+        decode("GET / HTTP/1.1\r\ncontent-length: 99999999\r\n\r\n"),
+        Err(HttpError::BodyTooLarge)
+    ));
+}
+
+#[test]
+fn heads_are_bounded_in_bytes_and_headers() {
+    let long = format!("GET / HTTP/1.1\r\nx: {}", "a".repeat(MOST_HEAD));
+    assert!(matches!(decode(&long), Err(HttpError::HeadTooLarge)));
+    let many = format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(MOST_HEADERS + 1));
+    assert!(matches!(decode(&many), Err(HttpError::HeadTooLarge)));
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_back_in_any_pieces(path in "/[a-z/]{0,20}", value in "[!-~]{1,30}",
+            body in proptest::collection::vec(any::<u8>(), 0..200), piece in 1..50usize) {
+        let mut headers = Headers::default();
+        headers.add("x-a", &value);
+        let request = Request { method: "POST".into(), path, headers, body: body.into() };
+        let mut bytes = BytesMut::new();
+        ClientCodec::default().encode(request.clone(), &mut bytes).unwrap();
+        let (mut codec, mut held, mut read) = (ServerCodec::default(), BytesMut::new(), None);
+        for part in bytes.chunks(piece) {
+            held.extend_from_slice(part);
+            read = read.or(codec.decode(&mut held).unwrap());
+        }
+        let read = read.unwrap();
+        prop_assert_eq!((&read.path, &read.body), (&request.path, &request.body));
+        prop_assert_eq!(read.headers.get("x-a"), Some(value.as_str()));
+    }
+
+    #[test]
+    fn any_bytes_give_a_message_an_error_or_a_wait(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let mut text = BytesMut::from(&b"GET / HTTP/1.1\r\n"[..]);
+        text.extend_from_slice(&bytes);
+        text.extend_from_slice(b"\r\n\r\n");
+        let _ = ServerCodec::default().decode(&mut text.clone());
+        let _ = ClientCodec::default().decode(&mut text);
+    }
+}
