--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -149,7 +149,8 @@
     if (head.method, head.target) == ("GET", READY) && empty {
         return Ok(Asked::Ready);
     }
-    let customer = customer(head.target).ok_or(BadRequest::Path)?;
+    // One number, in whatever case its digits come.
+    let customer = customer(head.target).ok_or(BadRequest::Path)?.to_ascii_lowercase();
     let job = one(fields, "X-Trace-Id")?;
     if job.is_empty() || job.len() > MOST_ID || !job.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(BadRequest::Field("X-Trace-Id"));
@@ -192,7 +193,7 @@
         return None;
     }
     let (before, name) = path.rsplit_once('/')?;
-    let digits = name.len() == CUSTOMER.0 && name.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+    let digits = name.len() == CUSTOMER.0 && name.bytes().all(|b| b.is_ascii_hexdigit());
     let known = digits && u64::from_str_radix(name, 16).is_ok_and(|number| number < CUSTOMER.1);
     (known && before.starts_with('/')).then_some(name)
 }
