A client that waits to be told to go on with its body is told

HTTP/1.1 asks it of a server (Expect: 100-continue); common clients send it with long bodies and wait a second or more, of the 2.5 s that a request has here. Only where the body is not there yet, and after the head was found good. The test is told nothing without the mend.

--- a/crates/cli/tests/node/clients.rs
+++ b/crates/cli/tests/node/clients.rs
@@ -59,6 +59,24 @@
     assert_eq!(site.tries("bad-1"), 0);
 }
 
+#[tokio::test]
+async fn a_client_that_waits_to_be_told_is_told_to_go_on_with_its_body() {
+    let site = Site::start(1).await;
+    let (id, mut client) = (id(), site.client().await);
+    let text = store(&id, "essay").replace("X-Qos", "Expect: 100-Continue\r\nX-Qos");
+    let (head, body) = text.split_at(text.len() - 5);
+    client.send(head).await;
+    let mut told = [0; 25];
+    tokio::time::timeout(LIMIT, client.0.read_exact(&mut told)).await.expect("it is told").unwrap();
+    assert_eq!(&told, b"HTTP/1.1 100 Continue\r\n\r\n");
+    assert_eq!(client.ask(body).await.unwrap().2, format!("done {id}"));
+    // One that goes on by itself, or is refused, is told its answer alone.
+    let at_once = store(&self::id(), "essay").replace("X-Qos", "Expect: 100-continue\r\nX-Qos");
+    assert_eq!(client.ask(&at_once).await.unwrap().0, 200);
+    let bad = head.replace("Plan: iso", "Plan: gold");
+    assert_eq!(client.ask(&bad).await.unwrap().0, 400);
+}
+
 #[tokio::test]
 async fn long_bodies_pass_both_ways() {
     let site = Site::start(1).await;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/client.rs
@@ -240,7 +240,7 @@
         let head = self.buffer.split_to(end);
         let mut slots = NO_HEADERS;
         let parsed = request(&head, &mut slots)?;
-        let demand = match client::read(&self.slot.hub.names, &parsed)? {
+        let mut demand = match client::read(&self.slot.hub.names, &parsed)? {
             Asked::Ready => return Ok(Next::Ready { closes: parsed.fields.closes() }),
             Asked::Demand(demand) => demand,
         };
@@ -255,6 +255,9 @@
             if let Some(body) = body {
                 break body;
             }
+            if std::mem::take(&mut demand.expects) && self.put(client::GO_ON).await.is_err() {
+                return Ok(Next::End);
+            }
             if !self.more().await? {
                 return Ok(Next::End);
             }
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -125,10 +125,15 @@
     pub repeat: bool,
     /// How its body's end is told.
     pub framing: Framing,
+    /// The client sends the body once it is told to go on.
+    pub expects: bool,
     /// The connection closes after the answer.
     pub closes: bool,
 }
 
+/// What tells a client to go on with its body.
+pub const GO_ON: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
 /// What a head asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Asked {
@@ -178,6 +183,9 @@
         patience,
         repeat,
         framing,
+        expects: fields
+            .one("Expect")
+            .is_ok_and(|e| e.is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))),
         closes: fields.closes(),
     }))
 }
