The auditor lets a gatekeeper go by a list from the moment that it is sent

Followed in the capture (line 15978): at 17.411918 gatekeeper 0 allows the worker, at 17.412305 its acknowledgement of the list that has the worker back is noted. It acted on that list before the acknowledgement had come. At fault: the auditor, which let knowledge of an end lapse only as the next list was acknowledged.

The stand-in now notes each list before it is sent ('told'); a break stands where a list was acknowledged that has the worker stopped and none was sent since that has it running, which is all that can be known for sure. The teeth test has six orders of lists, three that must break and three that must not.

--- a/crates/rehearsal/src/audit.rs
+++ b/crates/rehearsal/src/audit.rs
@@ -148,6 +148,8 @@
     tickets: HashMap<String, (u64, String, bool)>,
     /// When a gatekeeper came to know of a checker's end.
     knows: HashMap<(usize, String), (f64, usize)>,
+    /// The checkers that are draining or gone by the newest list that a gatekeeper was sent.
+    told: HashMap<usize, HashSet<String>>,
     down: HashMap<usize, Vec<Outage>>,
     buckets: HashMap<(String, bool), Bucket>,
     cold: HashMap<String, ColdStart>,
@@ -227,10 +229,17 @@
                 self.audit.adds += 1;
                 self.audit.units.1 += amount;
             }
+            Fact::Told { gk, stopped } => {
+                let stopped: HashSet<String> = stopped.into_iter().collect();
+                self.knows.retain(|(known, server), _| *known != gk || stopped.contains(server));
+                self.told.insert(gk, stopped);
+            }
             Fact::Knows { gk, stopped } => {
                 let stopped: HashSet<String> = stopped.into_iter().collect();
                 self.knows.retain(|(known, server), _| *known != gk || stopped.contains(server));
-                for server in stopped {
+                // What a younger list that is on its way says otherwise, it may go by already.
+                let newest = self.told.get(&gk);
+                for server in stopped.into_iter().filter(|s| newest.is_none_or(|n| n.contains(s))) {
                     self.knows.entry((gk, server)).or_insert((t, line));
                 }
             }
--- a/crates/rehearsal/tests/teeth.rs
+++ b/crates/rehearsal/tests/teeth.rs
@@ -78,17 +78,30 @@
     assert_eq!(again, [twice], "an unsafe request ran twice");
 
     let server = lines[answer]["verdict"]["allowed"]["server"].clone();
-    let drained = with(&lines, |l| {
-        l.insert(1, json!({"t": 0.0, "what": "knows", "gk": 0, "stopped": [server]}));
-        for line in &mut l[2..] {
-            line["t"] = json!(line["t"].as_f64().unwrap() + 10.0);
-        }
-        l.retain(|line| line["what"] != "knows" || line["t"] == 0.0);
-    });
-    assert!(
-        drained.contains(&Rule::DrainsKept) && drained.iter().all(|r| *r == Rule::DrainsKept),
-        "{drained:?}"
-    );
+    // By number of the line before which it stands: what it acknowledged, or was sent, ten seconds before the rest.
+    let drained = |lists: &[(&str, Value)]| {
+        let broken = with(&lines, |l| {
+            l.retain(|line| line["what"] != "knows" && line["what"] != "told");
+            for line in &mut l[1..] {
+                line["t"] = json!(line["t"].as_f64().unwrap() + 10.0);
+            }
+            for (nth, (what, stopped)) in lists.iter().enumerate() {
+                l.insert(1 + nth, json!({"t": 0.0, "what": what, "gk": 0, "stopped": stopped}));
+            }
+        });
+        assert!(broken.iter().all(|r| *r == Rule::DrainsKept), "{broken:?}");
+        !broken.is_empty()
+    };
+    let (stopped, none) = (json!([server]), json!([]));
+    assert!(drained(&[("knows", stopped.clone())]), "sent on to one whose end was known");
+    assert!(drained(&[("told", stopped.clone()), ("knows", stopped.clone()), ("told", stopped.clone())]));
+    assert!(!drained(&[("told", stopped.clone())]), "not known until it is acknowledged");
+    let back = [("told", stopped.clone()), ("knows", stopped.clone()), ("told", none.clone())];
+    assert!(!drained(&back), "a younger list that has it back may be acted on before it is acknowledged");
+    let late = [("told", stopped.clone()), ("told", none), ("knows", stopped.clone())];
+    assert!(!drained(&late), "an older list that is acknowledged late");
+    let again = [&back[..], &[("told", stopped.clone()), ("knows", stopped)]].concat();
+    assert!(drained(&again), "and stopped once more");
 
     let fell = json!({"t": last, "what": "server", "server": "127.0.0.1:1", "state": "fell"});
     assert_eq!(with(&lines, |l| l.push(fell)), [Rule::NotPushedOver]);
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -121,29 +121,32 @@
         mut requests: Streaming<DiscoveryRequest>,
         lists: mpsc::Sender<Result<DiscoveryResponse, Status>>,
     ) {
-        let (mut gk, mut sent, mut told) = (0, HashMap::new(), 0);
+        let (mut gk, mut named, mut sent, mut told) = (0, false, HashMap::new(), 0);
         loop {
             tokio::select! {
                 request = requests.message() => {
                     let Ok(Some(request)) = request else { return };
                     if let Some(node) = &request.node {
                         gk = node.id.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+                        named = true;
                     }
                     let acknowledged = sent.remove(&request.response_nonce);
                     if let Some(stopped) = acknowledged.filter(|_| request.error_detail.is_none()) {
                         self.recorder.note(Fact::Knows { gk, stopped });
                     }
                 }
-                changed = async { self.state.wait_for(|s| !s.frozen && s.version > told).await.is_ok() } => {
+                changed = async { self.state.wait_for(|s| !s.frozen && s.version > told).await.is_ok() }, if named => {
                     if !changed {
                         return;
                     }
                     let state = self.state.borrow().clone();
                     told = state.version;
                     tokio::time::sleep(self.lag).await;
-                    let response = response(&state);
+                    let (response, stopped) = (response(&state), stopped(&state.servers));
+                    // Before it is sent: it is acted on sooner than it is acknowledged.
+                    self.recorder.note(Fact::Told { gk, stopped: stopped.clone() });
                     if sent.len() < UNACKNOWLEDGED {
-                        sent.insert(response.nonce.clone(), stopped(&state.servers));
+                        sent.insert(response.nonce.clone(), stopped);
                     }
                     if lists.send(Ok(response)).await.is_err() {
                         return;
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -232,6 +232,11 @@
     },
     /// The counter loses all.
     Emptied,
+    /// A gatekeeper is sent a list, which has these checkers as draining or gone: from now on it may go by it.
+    Told {
+        gk: usize,
+        stopped: Vec<String>,
+    },
     /// A gatekeeper acknowledges a list: it knows these checkers as draining or gone.
     Knows {
         gk: usize,
