--- a/crates/cli/tests/node/limits.rs
+++ b/crates/cli/tests/node/limits.rs
@@ -44,6 +44,23 @@
     assert_eq!(idle.len(), 34);
 }
 
+#[tokio::test]
+async fn at_a_very_small_limit_idle_clients_and_a_silent_discovery_take_no_descriptor_past_it() {
+    let limit = 32;
+    let site = Site::with(2, limit, &[]).await;
+    let process = procfs::process::Process::new(site.child.id() as i32).unwrap();
+    let taken = || process.fd_count().unwrap();
+    site.discovery.fall_silent();
+    let mut idle = Vec::new();
+    for _ in 0..4 {
+        idle.extend(idle_clients(&site, 4).await);
+        assert!(taken() <= limit, "{} of {limit}", taken());
+    }
+    let last = last_at_a_leaving_worker(&site, &site.discovery).await;
+    assert!(last <= STOP_WITHIN, "{last} s after it was told");
+    assert!(taken() <= limit, "{} of {limit}", taken());
+}
+
 #[tokio::test]
 async fn under_load_it_is_one_process_whose_sockets_are_tcp_over_ipv4() {
     let site = Site::start(2).await;
