A gatekeeper without a list stands once in the tests' support

Need: two tests wrote the same silent discovery and the same changed configuration. Both call Site::without_a_list now; their assertions are as they were.

--- a/crates/cli/tests/node/discovery.rs
+++ b/crates/cli/tests/node/discovery.rs
@@ -293,23 +293,15 @@
 
 #[tokio::test]
 async fn with_no_known_list_it_is_ready_soon_after_discovery_is_back() {
-    let silent = Scripted::start(ANYWHERE, |_| Reply::Silence).await.unwrap();
-    let unready = |text: String| {
-        let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
-        config["discovery"] = silent.address.to_string().into();
-        config.as_object_mut().unwrap().remove("known");
-        config.to_string()
-    };
-    let site = Site::unready(1, 256, &[], unready).await;
+    let (site, silent) = Site::without_a_list().await;
     // Its first calls are answered by nobody.
     silent.wait_for(2).await;
     let mut front = site.client().await;
-    let ready = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
-    assert_eq!(front.ask(ready).await.unwrap().0, 503);
+    assert_eq!(front.ask(READY).await.unwrap().0, 503);
     let workers = list(3, &[("s-0", site.workers[0].address, "SERVING")]);
     silent.set_script(move |_| Reply::ok(&workers));
     let back = std::time::Instant::now();
-    while front.ask(ready).await.unwrap().0 != 200 {
+    while front.ask(READY).await.unwrap().0 != 200 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert!(back.elapsed() < Duration::from_secs(10), "{:?}", back.elapsed());
--- a/crates/cli/tests/node/ends.rs
+++ b/crates/cli/tests/node/ends.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use std::time::Duration;
-use weirusher_standins::{Reply, Scripted};
+use weirusher_standins::Reply;
 
 /// The process ends without a kill, and in order.
 async fn ends_by_itself(site: &mut Site) {
@@ -103,18 +103,10 @@
 
 #[tokio::test]
 async fn told_to_stop_before_it_is_ready_it_answers_what_it_took_and_ends() {
-    // A discovery that is there and says nothing, and no known list.
-    let silent = Scripted::start(ANYWHERE, |_| Reply::Silence).await.unwrap();
-    let unready = |text: String| {
-        let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
-        config["discovery"] = silent.address.to_string().into();
-        config.as_object_mut().unwrap().remove("known");
-        config.to_string()
-    };
-    let mut site = Site::unready(1, 256, &[], unready).await;
+    let (mut site, silent) = Site::without_a_list().await;
     silent.wait_for(1).await;
     let mut front = site.client().await;
-    assert_eq!(front.ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap().0, 503);
+    assert_eq!(front.ask(READY).await.unwrap().0, 503);
     let mut client = site.client().await;
     client.send(&request(&id(), "iso", 1500)).await;
     site.signal(nix::sys::signal::Signal::SIGTERM);
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -19,6 +19,9 @@
 /// A generous limit for whatever must come about.
 pub const LIMIT: Duration = Duration::from_secs(30);
 
+/// What the front asks until it takes a gatekeeper in.
+pub const READY: &str = "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
 /// An address of the loopback net that no other site has, in this process or beside it; any port.
 pub fn own_address() -> SocketAddr {
     static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -122,6 +125,18 @@
         Self { child, listen, workers: started, counter, discovery, file, _dir: dir }
     }
 
+    /// A gatekeeper without a known list, whose discovery is there and says nothing so far; not waited for.
+    pub async fn without_a_list() -> (Self, Scripted) {
+        let silent = Scripted::start(ANYWHERE, |_| Reply::Silence).await.unwrap();
+        let change = |text: String| {
+            let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
+            config["discovery"] = silent.address.to_string().into();
+            config.as_object_mut().unwrap().remove("known");
+            config.to_string()
+        };
+        (Self::unready(1, 256, &[], change).await, silent)
+    }
+
     /// Asked as the front does, until it is ready.
     pub async fn ready(&self) {
         let ready = async {
