--- a/tools/sweep.sh
+++ b/tools/sweep.sh
@@ -47,11 +47,12 @@
 export -f score
 
 if [ -n "$panel" ]; then
+  many=$((${seeds#*-} - ${seeds%-*} + 1))
   seq "${seeds%-*}" "${seeds#*-}" | xargs -P "$jobs" -L 1 bash -c 'score "$@"' score
   cat "$logs"/*-"$panel"-*.txt
   passed=$(cat "$logs"/*-"$panel"-*.txt | grep -c 'gate passed' || true)
-  echo "$passed of $((${seeds#*-} - ${seeds%-*} + 1)) gates passed; reports: $logs"
-  [ "$passed" -eq $((${seeds#*-} - ${seeds%-*} + 1)) ]
+  echo "$passed of $many gates passed; reports: $logs"
+  [ "$passed" -eq "$many" ]
   exit
 fi
 
