The codecs of HTTP/1.1 read bodies by the reader that the gatekeeper has

Need: http1::Reader read a body of a stated length by lines that stood again in wire::body. It uses BodyReader now. Also, Pipeline::give_up asked twice whether a call is there, and a comment still told of the seconds a call took, where they go to its first byte.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -71,7 +71,7 @@
     pub fn give_up(&mut self, now: Time) -> Vec<(T, f64)> {
         let mut late = Vec::new();
         while self.live().is_some_and(|deadline| deadline <= now) {
-            let Some(pending) = self.pending.get_mut(self.given_up) else { break };
+            let pending = &mut self.pending[self.given_up];
             self.given_up += 1;
             late.extend(pending.call.take().map(|call| (call, now - pending.sent)));
         }
@@ -182,7 +182,7 @@
         self.lines[line].pipeline.begun(now);
     }
 
-    /// The next answer has come on a line: its call and the seconds it took, unless that was given up.
+    /// The next answer has come on a line: its call and the seconds until it began, unless that was given up.
     ///
     /// # Errors
     /// Nothing was asked: the line must be dropped.
--- a/crates/wire/src/http1.rs
+++ b/crates/wire/src/http1.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 with bodies of a stated length, parsed by httparse.
 
+use crate::body::{BodyReader, Framing};
 use crate::head::{self, Fields, HeadSearch, NO_HEADERS};
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
@@ -100,7 +101,7 @@
 /// A message being read: its head is parsed once, when all of it is there.
 #[derive(Debug)]
 struct Reader<M> {
-    head: Option<(M, usize)>,
+    head: Option<(M, BodyReader)>,
     search: HeadSearch,
 }
 
@@ -119,14 +120,11 @@
         if self.head.is_none() {
             let Some(end) = self.search.end(src)? else { return Ok(None) };
             let head = src.split_to(end);
-            self.head = Some(parse(&head)?);
+            let (message, length) = parse(&head)?;
+            self.head = Some((message, BodyReader::new(Framing::Length(length), MOST_BODY)));
         }
-        let length = self.head.as_ref().map_or(0, |(_, length)| *length);
-        if src.len() < length {
-            src.reserve(length - src.len());
-            return Ok(None);
-        }
-        let body = src.split_to(length).freeze();
+        let Some((_, body)) = &mut self.head else { return Ok(None) };
+        let Some(body) = body.read(src)? else { return Ok(None) };
         Ok(self.head.take().map(|(message, _)| (message, body)))
     }
 }
