--- a/tools/sweep.sh
+++ b/tools/sweep.sh
@@ -1,23 +1,26 @@
 #!/usr/bin/env bash
 # Plays days of the standing test on many seeds and prints a line for each: day, site, seed, gate, rule, served, score.
 # Usage: tools/sweep.sh [-j JOBS] [-n NODES] [-l LOGS] SITE SEEDS DAY …     e.g. tools/sweep.sh SITE 1-5 herd+mass zone+brink+mass
+#        tools/sweep.sh [-j JOBS] [-l LOGS] -p PANEL -w WHY SITE SEEDS       whole panels, and what the gate looks at on each day
 # A play that breaks a rule or does not end keeps its logs under LOGS; ends with 1 where there was one.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-jobs=3 nodes="" logs="$(mktemp -d)"
-while getopts j:n:l: option; do
+jobs=3 nodes="" panel="" why="" logs="$(mktemp -d)"
+while getopts j:n:l:p:w: option; do
   case $option in
     j) jobs=$OPTARG ;;
     n) nodes=$OPTARG ;;
     l) logs=$OPTARG ;;
+    p) panel=$OPTARG ;;
+    w) why=$OPTARG ;;
     *) exit 2 ;;
   esac
 done
 shift $((OPTIND - 1))
-[ $# -ge 3 ] || { sed -n 3p "$0" >&2; exit 2; }
+if [ -n "$panel" ]; then [ $# -eq 2 ] && [ -n "$why" ]; else [ $# -ge 3 ]; fi || { sed -n '3,4p' "$0" >&2; exit 2; }
 site=$1 seeds=$2
 shift 2
-export site nodes logs bench=../given/kit/more/mass/bin/lbreal
+export site nodes panel why logs bench=../given/kit/more/mass/bin/lbreal
 
 play() {
   local day=$1 seed=$2 name out line rule
@@ -35,6 +38,23 @@
 }
 export -f play
 
+score() {
+  local report
+  report=$logs/$(basename "$site" .toml)-$panel-$1.json
+  "$bench" score "$site" --panel "$panel" --seed "$1" --no-build --why "$why" --json "$report" >"${report%.json}.out" 2>&1 || true
+  { tools/gate.py "$report" || tail -3 "${report%.json}.out"; } >"${report%.json}.txt" 2>&1
+}
+export -f score
+
+if [ -n "$panel" ]; then
+  seq "${seeds%-*}" "${seeds#*-}" | xargs -P "$jobs" -L 1 bash -c 'score "$@"' score
+  cat "$logs"/*-"$panel"-*.txt
+  passed=$(cat "$logs"/*-"$panel"-*.txt | grep -c 'gate passed' || true)
+  echo "$passed of $((${seeds#*-} - ${seeds%-*} + 1)) gates passed; reports: $logs"
+  [ "$passed" -eq $((${seeds#*-} - ${seeds%-*} + 1)) ]
+  exit
+fi
+
 for day in "$@"; do
   for seed in $(seq "${seeds%-*}" "${seeds#*-}"); do echo "$day $seed"; done
 done | xargs -P "$jobs" -L 1 bash -c 'play "$@"' play
