engine: the ticket of a keyed retry ends with the idempotency window

Cause: Engine::carry_out dropped `start_within` of Action::Forward, so the ticket, which is all that a backend goes by, expired with the attempt's deadline. weirusher node keeps the figure as its write deadline.

Why this works: the ticket expires by the window's end less twice the largest clock difference (0.25 s), as a backend's clock may be late by that and accepts a ticket for as long past its expiry. An attempt whose ticket would have expired already ends as not sent, and the decisions choose how the request goes on.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -18,7 +18,7 @@
 
 use crate::driver::{Command, DecisionDriver, DecisionTimer};
 use crate::ticket::Keyring;
-use request_table::{RequestTable, request_number};
+use request_table::{Attempt, RequestTable, request_number};
 use std::collections::HashMap;
 use weirusher::{
     Action, Endpoint, EndpointListKind, Event, Idempotency, RequestId, Settings, SettingsError, Status, Time,
@@ -195,8 +195,9 @@
 
     fn carry_out(&mut self, now: Time, action: Action) {
         match action {
-            Action::Forward { request, backend, timeout, .. } => {
-                self.start_attempt(now, request_number(&request), backend, timeout);
+            Action::Forward { request, backend, timeout, start_within } => {
+                let attempt = Attempt::new(now, backend, timeout, start_within);
+                self.start_attempt(now, request_number(&request), attempt);
             }
             Action::Reject { request, retry_after, .. } => {
                 self.set_outcome(&request, CheckOutcome::Rejected { retry_after });
--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -4,7 +4,7 @@
 use super::request_table::{Attempt, AttemptId, AttemptState};
 use super::{Engine, Timer};
 use crate::ticket::Ticket;
-use weirusher::{BackendId, Event, LoadReport, Status, Time};
+use weirusher::{Event, LoadReport, Status, Time};
 
 /// Seconds past an attempt's deadline in which its report may still arrive: the proxy sends its access log in
 /// batches.
@@ -34,31 +34,28 @@
 
 impl Engine {
     /// The decisions start an attempt: the pending check gets its ticket, or a later one has to claim it.
-    pub(super) fn start_attempt(&mut self, now: Time, request: u64, backend: BackendId, timeout: f64) {
+    pub(super) fn start_attempt(&mut self, now: Time, request: u64, attempt: Attempt) {
         let Some(open) = self.requests.get_mut(request) else { return };
         let id = AttemptId { request, attempt: open.attempts.len() as u32 };
-        let deadline = now + timeout;
-        let state = AttemptState::Unclaimed;
-        open.attempts.push(Attempt {
-            backend,
-            started_at: now,
-            deadline,
-            state,
-            reported: false,
-            timer: None,
-        });
+        let claim_until = (now + CLAIM_TIMEOUT_SECONDS).min(attempt.deadline);
+        open.attempts.push(attempt);
         if open.caller.is_some() {
             return self.issue_ticket(now, id);
         }
-        let claim_until = (now + CLAIM_TIMEOUT_SECONDS).min(deadline);
         let timer = self.driver.timers.set(claim_until, Timer::UnclaimedRetry(request));
         open.attempts[id.attempt as usize].timer = Some(timer);
     }
 
-    /// Allows the pending check, with the attempt's ticket.
+    /// Allows the pending check, with the attempt's ticket. An attempt whose ticket would have expired already ends as
+    /// not sent, and the decisions choose how the request goes on.
     pub(super) fn issue_ticket(&mut self, now: Time, id: AttemptId) {
         let Some(open) = self.requests.get_mut(id.request) else { return };
         let attempt = &mut open.attempts[id.attempt as usize];
+        let expires_at = attempt.ticket_expiry();
+        if expires_at <= now {
+            self.metrics.expired_grants += 1;
+            return self.close_attempt(now, id, AttemptEnd::unreported(Status::NotSent, false));
+        }
         (attempt.state, attempt.started_at) = (AttemptState::InFlight, now);
         self.in_flight += 1;
         if let Some(timer) = attempt.timer.take() {
@@ -72,7 +69,7 @@
             request: id.request,
             attempt: id.attempt,
             units: open.units,
-            expires_at: attempt.deadline,
+            expires_at,
             class: open.class as u16,
             backend: attempt.backend.to_string(),
         };
--- a/crates/core/src/engine/metrics.rs
+++ b/crates/core/src/engine/metrics.rs
@@ -24,6 +24,8 @@
     /// Retries that no check claimed in time.
     #[serde(rename = "uncollected")]
     pub unclaimed_retries: u64,
+    /// Attempts that no check was granted, as their ticket would have expired already.
+    pub expired_grants: u64,
     /// Reports that came late or twice.
     pub late_reports: u64,
     /// Reports for tickets of other instances or incarnations.
--- a/crates/core/src/engine/request_table.rs
+++ b/crates/core/src/engine/request_table.rs
@@ -1,6 +1,7 @@
 //! The open requests and their attempts.
 
 use super::check::{CallerId, CheckOutcome};
+use crate::ticket_validator::MAX_CLOCK_SKEW_SECONDS;
 use crate::timer_wheel::TimerKey;
 use std::collections::HashMap;
 use weirusher::{BackendId, CustomerId, RequestId, Time};
@@ -28,6 +29,8 @@
     pub backend: BackendId,
     pub started_at: Time,
     pub deadline: Time,
+    /// When the backends may forget the request's idempotency key: the attempt must not be executed after that.
+    pub window_end: Time,
     pub state: AttemptState,
     /// A report closed it.
     pub reported: bool,
@@ -35,6 +38,28 @@
     pub timer: Option<TimerKey>,
 }
 
+impl Attempt {
+    /// An attempt that no check has claimed yet. It times out after `timeout` seconds, and must not be executed later
+    /// than `start_within` seconds from now.
+    pub fn new(now: Time, backend: BackendId, timeout: f64, start_within: f64) -> Self {
+        Self {
+            backend,
+            started_at: now,
+            deadline: now + timeout,
+            window_end: now + start_within,
+            state: AttemptState::Unclaimed,
+            reported: false,
+            timer: None,
+        }
+    }
+
+    /// When the attempt's ticket expires. A backend's clock may be late by the largest skew, and it accepts a ticket for
+    /// as long past its expiry; both have passed by the end of the window.
+    pub fn ticket_expiry(&self) -> Time {
+        self.deadline.min(self.window_end - 2.0 * MAX_CLOCK_SKEW_SECONDS)
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct OpenRequest {
     pub id: RequestId,
--- a/crates/core/src/ticket_validator.rs
+++ b/crates/core/src/ticket_validator.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, HashSet};
 
 /// Seconds by which the clocks of gateway and backend may differ.
-const MAX_CLOCK_SKEW_SECONDS: f64 = 0.25;
+pub(crate) const MAX_CLOCK_SKEW_SECONDS: f64 = 0.25;
 
 /// Why a backend rejects a request before execution.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -15,6 +15,8 @@
   "ticket-code|crates/core/src/ticket.rs|.verify_truncated_left(&code)|.verify_truncated_left(\&key.over(signed).finalize().into_bytes()[..CODE_BYTES])|effects"
   "unsafe-again|src/policy/retry_scope.rs|Idempotency::NonIdempotent => None,|Idempotency::NonIdempotent => Some(RetryScope::ANYWHERE),|effects"
   "keyed-window|src/policy/retry_scope.rs|first.sent + window - self.now;|first.sent + window + 1e6 - self.now;|test:weirusher"
+  "late-grant|crates/core/src/engine/request_table.rs|self.deadline.min(self.window_end - 2.0 * MAX_CLOCK_SKEW_SECONDS)|self.deadline|test:weirusher-core"
+  "late-claim|crates/core/src/engine/attempts.rs|if expires_at <= now {|if false {|test:weirusher-core"
   "drained|src/policy/endpoint_list.rs|backend.running = entry.lifecycle == Lifecycle::Running;|backend.running = true;|drains"
   "cold-budget|src/policy/selection.rs|if score < best_score \&\& self.slow_start_budget(index, candidates) >= 1.0 {|if score < best_score {|cold"
   "cold-ramp|src/policy/tuning.rs|const SLOW_START_FRACTION: f64 = 0.4;|const SLOW_START_FRACTION: f64 = 1.6;|test:weirusher"
