ext-authz: the test that pins the stats page knows the new key expired_grants

The list gains the key; it is still compared as a whole, so that a key that goes, comes or changes its name fails.

--- a/crates/ext-authz/src/engine_task/tests.rs
+++ b/crates/ext-authz/src/engine_task/tests.rs
@@ -26,6 +26,7 @@
         "reported",
         "unreported",
         "uncollected",
+        "expired_grants",
         "late_reports",
         "foreign_reports",
         "bad_tickets",
