log: a thread of its own writes it, over a bounded queue that drops and counts

Cause: each line was written by the thread that logged it, blocking and under the lock of std::io::stderr; and tracing-subscriber reports a failed write by eprintln!, which panics then.

Why this works: crates/log puts lines into a queue, bounded in lines and bytes, and one thread (tracing-appender) writes them. What does not fit or cannot be written is counted (log_lines_dropped, in `stopped` and on the admin page), and told of once the log can be written. At the end 0.25 s at most are left to the last lines.

The test that pins the stats page gains the new key.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,7 +4,6 @@
 mod arguments;
 mod commands;
 mod error;
-mod logs;
 mod output;
 mod signals;
 
@@ -12,17 +11,23 @@
 use clap::Parser;
 use error::CommandError;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// Longest wait for the last lines of the log. A gateway has written its last response 0.3 s before the platform may kill it.
+const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(250);
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    logs::start(arguments.log == LogFormat::Json);
-    match run(arguments.command) {
-        Ok(code) => code,
-        Err(error) => {
-            output::report_error(&error);
-            error.exit_code()
-        }
-    }
+    weirusher_log::start(match arguments.log {
+        LogFormat::Text => weirusher_log::Format::Text,
+        LogFormat::Json => weirusher_log::Format::Json,
+    });
+    let code = run(arguments.command).unwrap_or_else(|error| {
+        output::report_error(&error);
+        error.exit_code()
+    });
+    weirusher_log::finish(LAST_LINES_TIMEOUT);
+    code
 }
 
 fn run(command: Command) -> Result<ExitCode, CommandError> {
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -11,8 +11,6 @@
 
 /// Prints why the command failed to standard error.
 pub fn report_error(error: &CommandError) {
-    if let CommandError::Config { listing, .. } = error {
-        eprint!("{listing}");
-    }
-    eprintln!("weirusher: {error}");
+    let listing = if let CommandError::Config { listing, .. } = error { listing } else { "" };
+    weirusher_log::print(&format!("{listing}weirusher: {error}\n"));
 }
--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -1,5 +1,7 @@
 //! The gateway on the platform as a process between scripted servers; judged from what passed on the sockets.
 
+#[path = "../support/log_sink.rs"]
+mod log_sink;
 #[path = "../support/platform.rs"]
 mod platform;
 #[path = "../support/process.rs"]
@@ -12,6 +14,7 @@
 mod discovery;
 mod graceful_shutdown;
 mod idle_connections;
+mod log;
 mod resource_limits;
 mod scheduling_delay;
 mod shutdown_deadline;
--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -42,6 +42,20 @@
     _dir: tempfile::TempDir,
 }
 
+/// How the gateway's process is started.
+struct Launch<'a> {
+    environment: &'a [(&'a str, OsString)],
+    /// Start times of the backends in the first list.
+    starts: &'a [i64],
+    stderr: Stdio,
+}
+
+impl Default for Launch<'_> {
+    fn default() -> Self {
+        Self { environment: &[], starts: &[], stderr: Stdio::inherit() }
+    }
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         let _ = self.child.kill(); // It may have ended already.
@@ -114,7 +128,17 @@
         starts: &[i64],
         change: impl FnOnce(String) -> String,
     ) -> Self {
-        let site = Self::spawn(backends, 256, &[], change, &shim.environment(), starts).await;
+        let launch = Launch { environment: &shim.environment(), starts, ..Launch::default() };
+        let site = Self::spawn(backends, 256, &[], change, launch).await;
+        site.ready().await;
+        site
+    }
+
+    /// A site whose gateway logs to `stderr` what passes `filter`.
+    pub async fn with_log(backends: usize, filter: &str, stderr: Stdio) -> Self {
+        let environment = [("RUST_LOG", OsString::from(filter))];
+        let launch = Launch { environment: &environment, stderr, ..Launch::default() };
+        let site = Self::spawn(backends, 256, &[], |text| text, launch).await;
         site.ready().await;
         site
     }
@@ -126,7 +150,7 @@
         others: &[(&str, SocketAddr)],
         change: impl FnOnce(String) -> String,
     ) -> Self {
-        Self::spawn(backends, sockets, others, change, &[], &[]).await
+        Self::spawn(backends, sockets, others, change, Launch::default()).await
     }
 
     async fn spawn(
@@ -134,8 +158,7 @@
         sockets: usize,
         others: &[(&str, SocketAddr)],
         change: impl FnOnce(String) -> String,
-        environment: &[(&str, OsString)],
-        starts: &[i64],
+        launch: Launch<'_>,
     ) -> Self {
         let mut started = Vec::new();
         for _ in 0..backends {
@@ -146,7 +169,7 @@
         let entries: Vec<_> =
             own.chain(others.iter().copied()).map(|(name, address)| (name, address, "SERVING")).collect();
         let discovery =
-            DiscoveryAgent::start(ANY_PORT, 2, with_starts(&list(2, &entries), starts)).await.unwrap();
+            DiscoveryAgent::start(ANY_PORT, 2, with_starts(&list(2, &entries), launch.starts)).await.unwrap();
         let counter = ScriptedServer::start(ANY_PORT, counting()).await.unwrap();
         // A free port of an address that only this site has: nobody else binds there.
         let listen = tokio::net::TcpListener::bind(unique_address()).await.unwrap().local_addr().unwrap();
@@ -159,8 +182,9 @@
             .arg("node")
             .env("NODE_CONFIG", &file)
             .env("RUST_LOG", std::env::var("NODE_LOG").unwrap_or_else(|_| "warn".into()))
-            .envs(environment.iter().cloned())
+            .envs(launch.environment.iter().cloned())
             .stdout(Stdio::null())
+            .stderr(launch.stderr)
             .spawn()
             .unwrap();
         Self { child, listen, backends: started, counter, discovery, file, _dir: dir }
--- a/crates/cli/tests/run_process.rs
+++ b/crates/cli/tests/run_process.rs
@@ -1,6 +1,8 @@
 //! `weirusher run` as a process. On SIGTERM under load each check that was sent is answered, or the proxy is notified that it
 //! was not processed (GOAWAY or REFUSED_STREAM, RFC 9113, 6.8 and 8.7) and may send it elsewhere.
 
+#[path = "support/log_sink.rs"]
+mod log_sink;
 #[path = "support/process.rs"]
 mod process;
 
@@ -11,8 +13,10 @@
 use envoy_types::pb::envoy::service::auth::v3::{AttributeContext, CheckRequest};
 use h2::Reason;
 use h2::client::SendRequest;
+use log_sink::{broken_pipe, full_device, unread_pipe};
 use process::ended;
 use prost::Message;
+use std::ffi::OsString;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
@@ -25,6 +29,8 @@
 
 /// Limit for what must happen.
 const LIMIT: Duration = Duration::from_secs(30);
+/// Limit for the answer to a check.
+const CHECK_LIMIT: Duration = Duration::from_millis(1500);
 /// Connections, and checks in flight on each.
 const CONNECTIONS: usize = 24;
 const CHECKS: usize = 8;
@@ -64,6 +70,15 @@
 
     /// The same with more tables in its configuration.
     fn start_with(tables: &str, shim: &FaultShim) -> Self {
+        Self::launch(tables, &shim.environment(), Stdio::inherit())
+    }
+
+    /// A gateway that logs everything to `stderr`.
+    fn with_log(stderr: Stdio) -> Self {
+        Self::launch("", &[("RUST_LOG", "debug".into())], stderr)
+    }
+
+    fn launch(tables: &str, environment: &[(&str, OsString)], stderr: Stdio) -> Self {
         let dir = tempfile::tempdir().unwrap();
         let file = dir.path().join("gateway.toml");
         let text = "default_plan = \"only\"\n[instance]\nnumber = 0\ngateways = 1\n[listen]\n\
@@ -76,8 +91,9 @@
         let run = Command::new(exe)
             .args(["run", "--config"])
             .arg(&file)
-            .envs(shim.environment())
+            .envs(environment.iter().cloned())
             .stdout(Stdio::piped())
+            .stderr(stderr)
             .spawn();
         let mut child = run.unwrap();
         let mut line = String::new();
@@ -214,3 +230,44 @@
     tokio::time::timeout(LIMIT, answered).await.expect("the counter's answer is read");
     assert!(short.into_iter().all(|fault| shim.end(fault) > 0));
 }
+
+/// Checks that are answered in time on one connection; the gateway then ends at SIGTERM.
+async fn serves_and_stops(gateway: &mut Gateway) {
+    let stream = TcpStream::connect(gateway.address).await.unwrap();
+    let (client, connection) = h2::client::handshake(stream).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let message = check_of_customer();
+    for _ in 0..300 {
+        let answer = check(client.clone(), &message);
+        let answer = tokio::time::timeout(CHECK_LIMIT, answer).await;
+        assert_eq!(answer.expect("an answer in time"), Ok(End::Answered));
+    }
+    assert!(dropped_lines(gateway).await > 0);
+    let id = nix::unistd::Pid::from_raw(gateway.child.id() as i32);
+    nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
+    drop(client);
+    let _ = connection.await; // GOAWAY ends it.
+    assert!(ended(&mut gateway.child).await.success());
+}
+
+async fn dropped_lines(gateway: &Gateway) -> u64 {
+    let stats = weirusher_peers::page::get(gateway.admin, "/stats");
+    let page = tokio::time::timeout(LIMIT, stats).await.expect("an answer").unwrap();
+    let stats: serde_json::Value = serde_json::from_slice(&page.body).unwrap();
+    stats["log_lines_dropped"].as_u64().unwrap()
+}
+
+/// Guards against threads that serve and wait for the log.
+#[tokio::test]
+async fn a_log_that_nobody_reads_delays_no_check_and_no_shutdown() {
+    let (_reader, stderr) = unread_pipe();
+    serves_and_stops(&mut Gateway::with_log(stderr)).await;
+}
+
+/// Guards against a process that panics at a line that cannot be written.
+#[tokio::test]
+async fn a_log_that_fails_ends_nothing() {
+    for stderr in [full_device(), broken_pipe()] {
+        serves_and_stops(&mut Gateway::with_log(stderr)).await;
+    }
+}
--- a/crates/ext-authz/src/engine_task.rs
+++ b/crates/ext-authz/src/engine_task.rs
@@ -93,6 +93,8 @@
     #[serde(rename = "ledger")]
     pub engine: EngineMetrics,
     pub process: MetricsSnapshot,
+    /// Lines that the log could not write.
+    pub log_lines_dropped: u64,
 }
 
 /// The engine with its clock and its channels.
@@ -183,6 +185,7 @@
             pending: self.engine.pending(),
             engine: self.engine.metrics(),
             process: self.metrics.snapshot(),
+            log_lines_dropped: weirusher_log::dropped_lines(),
         }
     }
 
--- a/crates/ext-authz/src/engine_task/tests.rs
+++ b/crates/ext-authz/src/engine_task/tests.rs
@@ -14,6 +14,7 @@
         pending: 1,
         engine: EngineMetrics::default(),
         process: Metrics::default().snapshot(),
+        log_lines_dropped: 4,
     };
     let zeros = |keys: &[&str]| keys.iter().map(|key| (key.to_string(), json!(0))).collect::<Value>();
     let ledger = zeros(&[
@@ -50,7 +51,7 @@
         "list_entries_unusable",
     ]);
     let page = serde_json::to_value(&status).unwrap();
-    let expected =
-        json!({ "instance": 3, "epoch": 9, "open": 2, "owed": 1, "ledger": ledger, "process": process });
+    let expected = json!({ "instance": 3, "epoch": 9, "open": 2, "owed": 1, "ledger": ledger, "process": process,
+            "log_lines_dropped": 4 });
     assert_eq!(page, expected);
 }
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,143 @@
+//! The process's log: lines on standard error, written by a thread of their own.
+//!
+//! No thread that logs waits for standard error or fails with it. Lines go to a queue that is bounded in lines and bytes; one
+//! that does not fit, exceeds the budget of lines a second or cannot be written is dropped and counted. The log tells how many were
+//! dropped once it can be written again.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod line_budget;
+mod line_counts;
+mod sink;
+
+use line_budget::LineBudget;
+use line_counts::{LineCounts, MAX_QUEUED_LINES};
+use sink::Sink;
+use std::io::{self, IsTerminal, Write};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
+
+/// The filter where RUST_LOG has none.
+const DEFAULT_FILTER: &str = "warn,weirusher_node=info";
+/// How often [`finish`] looks whether all lines are written.
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// The form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// Plain text.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The log of this process.
+static LOG: OnceLock<Log> = OnceLock::new();
+
+struct Log {
+    queue: Queue,
+    /// Never dropped: that would wait for the writer.
+    _writer: WorkerGuard,
+}
+
+/// The end of the queue at which lines are put in.
+#[derive(Clone)]
+struct Queue {
+    writer: NonBlocking,
+    counts: Arc<LineCounts>,
+}
+
+impl Queue {
+    fn push(&mut self, line: &[u8]) {
+        if self.counts.try_queue(line.len()) {
+            let _ = self.writer.write_all(line); // It never fails, and has room for as many lines as the counts let in.
+        } else {
+            self.counts.add_dropped();
+        }
+    }
+}
+
+/// Makes the writer of each log line.
+struct QueuedStderr {
+    budget: Mutex<LineBudget>,
+    queue: Queue,
+}
+
+/// The writer of one line; `None` drops it.
+struct LineWriter(Option<Queue>);
+
+impl Write for LineWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if let Some(queue) = &mut self.0 {
+            queue.push(line);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for QueuedStderr {
+    type Writer = LineWriter;
+
+    fn make_writer(&'a self) -> LineWriter {
+        let has_budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner).try_take();
+        if !has_budget {
+            self.queue.counts.add_dropped();
+        }
+        LineWriter(has_budget.then(|| self.queue.clone()))
+    }
+}
+
+/// Starts the log and its thread. Further calls change nothing.
+pub fn start(format: Format) {
+    let counts = Arc::new(LineCounts::default());
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_QUEUED_LINES)
+        .thread_name("log")
+        .finish(Sink::new(io::stderr(), counts.clone()));
+    let queue = Queue { writer, counts };
+    if LOG.set(Log { queue: queue.clone(), _writer: guard }).is_err() {
+        return;
+    }
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(io::stderr().is_terminal())
+        .log_internal_errors(false) // They would be written to standard error by the thread that logs.
+        .with_writer(QueuedStderr { budget: Mutex::new(LineBudget::new()), queue });
+    match format {
+        Format::Text => builder.init(),
+        Format::Json => builder.json().init(),
+    }
+}
+
+/// Writes a text to standard error in its turn, whatever the filter and the budget of lines.
+pub fn print(text: &str) {
+    if let Some(log) = LOG.get() {
+        log.queue.clone().push(text.as_bytes());
+    }
+}
+
+/// Waits until all lines are written, for so long at most.
+pub fn finish(timeout: Duration) {
+    let Some(log) = LOG.get() else { return };
+    let end = Instant::now() + timeout;
+    while log.queue.counts.queued_lines() > 0 && Instant::now() < end {
+        std::thread::sleep(FINISH_POLL_INTERVAL);
+    }
+}
+
+/// How many lines were dropped since the start.
+pub fn dropped_lines() -> u64 {
+    LOG.get().map_or(0, |log| log.queue.counts.dropped())
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -165,6 +165,7 @@
         metrics = ?state.proxy.metrics(),
         connections = ?node.connections,
         violations = ?state.proxy.violations(),
+        log_lines_dropped = weirusher_log::dropped_lines(),
         "stopped"
     );
     state.proxy.pending()
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -17,6 +17,8 @@
   "keyed-window|src/policy/retry_scope.rs|first.sent + window - self.now;|first.sent + window + 1e6 - self.now;|test:weirusher"
   "late-grant|crates/core/src/engine/request_table.rs|self.deadline.min(self.window_end - 2.0 * MAX_CLOCK_SKEW_SECONDS)|self.deadline|test:weirusher-core"
   "late-claim|crates/core/src/engine/attempts.rs|if expires_at <= now {|if false {|test:weirusher-core"
+  "log-blocks|crates/log/src/lib.rs|            let _ = self.writer.write_all(line);|            let _ = io::stderr().write_all(line);|test:weirusher-cli"
+  "log-unbounded|crates/log/src/line_counts.rs|let fits = lines_before < MAX_QUEUED_LINES|let fits = lines_before < usize::MAX|test:weirusher-log"
   "drained|src/policy/endpoint_list.rs|backend.running = entry.lifecycle == Lifecycle::Running;|backend.running = true;|drains"
   "cold-budget|src/policy/selection.rs|if score < best_score \&\& self.slow_start_budget(index, candidates) >= 1.0 {|if score < best_score {|cold"
   "cold-ramp|src/policy/tuning.rs|const SLOW_START_FRACTION: f64 = 0.4;|const SLOW_START_FRACTION: f64 = 1.6;|test:weirusher"
