Panics are caught at the edge of each task: answered, counted, or an orderly stop

Cause: a panic ends its task, and nobody read the handle that tokio keeps it in.

Evidence: fault points in test builds alone (crates/panics; the release program has no string of them).

Why this works: the connection's task answers in place of the part that panicked (502 where no byte of a response was written, else a close), an attempt ends as not sent or as reset, a check is answered with 503 and its grant ends as not sent. A panic of a shared task, or amid a change of the shared state, raises the failure that the run waits for beside SIGTERM; the process ends in the same order, with status 1. The hook logs place and message and counts.

--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -32,9 +32,12 @@
         listening["fleet"] = json!(fleet);
     }
     print_json(&listening);
-    stop.received().await;
+    let panicked = tokio::select! {
+        () = stop.received() => false,
+        () = running.failed() => true,
+    };
     warn_of_pending(running.stop().await);
-    Ok(ExitCode::SUCCESS)
+    if panicked { Err(CommandError::Panicked) } else { Ok(ExitCode::SUCCESS) }
 }
 
 /// Runs the gateway on the platform until it is asked to stop, on one thread.
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -46,6 +46,9 @@
     /// A gateway's admin page does not answer.
     #[error("{admin}: {error}")]
     Admin { admin: SocketAddr, error: io::Error },
+    /// A panic may have broken what all requests depend on; the gateway has stopped in order.
+    #[error("stopped after a panic")]
+    Panicked,
     /// The tokio runtime cannot be built.
     #[error("no runtime: {0}")]
     Runtime(io::Error),
@@ -79,6 +82,7 @@
             | Self::TicketKey
             | Self::Load { .. } => INVALID_INPUT,
             Self::Admin { .. }
+            | Self::Panicked
             | Self::Runtime(_)
             | Self::WorkDir(_)
             | Self::CurrentProgram(_)
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -13,6 +13,8 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// The exit code of Rust's runtime after a panic.
+const PANIC_EXIT_CODE: u8 = 101;
 /// Longest wait for the last lines of the log. A gateway has written its last response 0.3 s before the platform may kill it.
 const LAST_LINES_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -22,10 +24,15 @@
         LogFormat::Text => weirusher_log::Format::Text,
         LogFormat::Json => weirusher_log::Format::Json,
     });
-    let code = run(arguments.command).unwrap_or_else(|error| {
-        output::report_error(&error);
-        error.exit_code()
-    });
+    weirusher_panics::install_hook();
+    let code = match std::panic::catch_unwind(|| run(arguments.command)) {
+        Ok(Ok(code)) => code,
+        Ok(Err(error)) => {
+            output::report_error(&error);
+            error.exit_code()
+        }
+        Err(_) => ExitCode::from(PANIC_EXIT_CODE), // The panic hook has logged it.
+    };
     weirusher_log::finish(LAST_LINES_TIMEOUT);
     code
 }
--- a/crates/ext-authz/src/gateway.rs
+++ b/crates/ext-authz/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::metrics::Metrics;
 use crate::server::GrpcServer;
 use crate::services::{access_log::AccessLog, ext_authz::ExtAuthz};
+use crate::shared_task::SharedTasks;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -17,7 +18,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use weirusher_clock::Clock;
-use weirusher_config::{Config, ConnectionLimits, CounterConfig, DiscoveryConfig, RequestRules};
+use weirusher_config::{Config, ConnectionLimits, CounterConfig, DiscoveryConfig, FleetConfig, RequestRules};
 use weirusher_core::{Engine, EngineError, Keyring};
 use weirusher_net::Listener;
 use weirusher_peers::{Peers, page};
@@ -55,10 +56,15 @@
     pending: watch::Receiver<usize>,
     drain_timeout: Duration,
     server: JoinHandle<()>,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: SharedTasks,
 }
 
 impl GatewayHandle {
+    /// Waits until a task that all requests depend on has panicked. The gateway is to be stopped then.
+    pub async fn failed(&self) {
+        self.tasks.failed().await;
+    }
+
     /// Shuts down gracefully: accepts no new connections, notifies each peer, and waits until nothing is
     /// pending and each connection has ended, for the configured drain time at most. Returns how many checks
     /// and attempts were still pending.
@@ -74,7 +80,7 @@
         }
         self.wait_until_idle(deadline).await;
         let pending = *self.pending.borrow();
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.tasks.abort();
         pending
     }
 
@@ -105,24 +111,19 @@
     let (pending_sender, pending) = watch::channel(0);
     let (stop, stopped) = watch::channel(false);
     let (reports_done, reports_done_receiver) = watch::channel(false);
-    let mut tasks = Vec::new();
+    let tasks = SharedTasks::new();
 
-    let mut peers = None;
-    if let Some(fleet) = config.fleet {
-        let (handle, task) = Peers::start(fleet).await?;
-        peers = Some(handle);
-        tasks.push(tokio::spawn(task));
-    }
+    let peers = start_membership(config.fleet, &tasks).await?;
     let counter_calls = config.counter.map(|CounterConfig { address, .. }| {
         let (call_sender, calls) = mpsc::channel(CALL_QUEUE);
         let (engine, metrics) = (client_sender.clone(), metrics.clone());
         let client = CounterClient { address, call_timeout, clock, calls, engine, metrics, seed };
-        tasks.push(tokio::spawn(client.run()));
+        tasks.spawn("counter", client.run());
         call_sender
     });
     let discovery =
         discovery_client(config.discovery, instance, client_sender, watch_endpoints, &metrics, seed);
-    tasks.push(tokio::spawn(discovery.run()));
+    tasks.spawn("discovery", discovery.run());
     let server = grpc_server(
         config.request_rules,
         config.connection_limits,
@@ -130,10 +131,10 @@
         &metrics,
         reports_done_receiver,
     );
-    let server = tokio::spawn(server.serve(grpc_listener, stopped));
+    let server = tasks.spawn("server", server.serve(grpc_listener, stopped, tasks.clone()));
     let fleet = peers.as_ref().map(|peers| peers.address);
     let admin_page = AdminPage { engine: service_sender, peers };
-    tasks.push(tokio::spawn(page::serve(admin_listener, admin_page)));
+    tasks.spawn("admin page", page::serve(admin_listener, admin_page));
     let engine_task = EngineTask {
         engine,
         instance,
@@ -147,11 +148,22 @@
         metrics,
         pending_checks: HashMap::new(),
     };
-    tasks.push(tokio::spawn(engine_task.run()));
+    tasks.spawn("engine", engine_task.run());
     let drain_timeout = Duration::from_secs_f64(config.drain_seconds);
     Ok(GatewayHandle { ext_authz, admin, fleet, stop, reports_done, pending, drain_timeout, server, tasks })
 }
 
+/// Starts the membership of the fleet, if one is configured.
+async fn start_membership(
+    config: Option<FleetConfig>,
+    tasks: &SharedTasks,
+) -> Result<Option<Peers>, StartError> {
+    let Some(config) = config else { return Ok(None) };
+    let (peers, task) = Peers::start(config).await?;
+    tasks.spawn("membership", task);
+    Ok(Some(peers))
+}
+
 /// The discovery client, and the cache if a file for it is configured.
 fn discovery_client(
     config: DiscoveryConfig,
--- a/crates/ext-authz/src/lib.rs
+++ b/crates/ext-authz/src/lib.rs
@@ -17,5 +17,6 @@
 mod metrics;
 mod server;
 mod services;
+mod shared_task;
 
 pub use gateway::{GatewayHandle, StartError, start};
--- a/crates/ext-authz/src/server.rs
+++ b/crates/ext-authz/src/server.rs
@@ -3,6 +3,7 @@
 use crate::acceptor::Acceptor;
 use crate::metrics::Metrics;
 use crate::services::{access_log::AccessLog, ext_authz::ExtAuthz};
+use crate::shared_task::SharedTasks;
 use envoy_types::pb::envoy::service::accesslog::v3::access_log_service_server::AccessLogServiceServer;
 use envoy_types::pb::envoy::service::auth::v3::authorization_server::AuthorizationServer;
 use futures::StreamExt;
@@ -41,11 +42,11 @@
 impl GrpcServer {
     /// Serves until `stopped` is set. After that no connections are accepted but those already in the
     /// backlog, each peer is notified by GOAWAY, and the server ends with the last stream.
-    pub async fn serve(self, listener: Listener, stopped: watch::Receiver<bool>) {
+    pub async fn serve(self, listener: Listener, stopped: watch::Receiver<bool>, shared: SharedTasks) {
         let slots = Arc::new(Semaphore::new(self.max_connections as usize));
         let (ready, incoming) = mpsc::channel(READY_QUEUE);
         let acceptor = Acceptor { slots, metrics: self.metrics, ready, stopped };
-        tokio::spawn(acceptor.accept(listener));
+        shared.spawn("accept", acceptor.accept(listener));
         let incoming = ReceiverStream::new(incoming).map(Ok::<_, io::Error>);
         // The graceful shutdown starts when the acceptor ends. A signal of its own would drop the connections
         // that wait.
--- a/crates/ext-authz/src/services/access_log.rs
+++ b/crates/ext-authz/src/services/access_log.rs
@@ -16,6 +16,7 @@
 use weirusher::Status as AttemptStatus;
 use weirusher_config::RequestRules;
 use weirusher_core::Completion;
+use weirusher_panics::Panicked;
 
 /// Response header by which a backend states that it rejected the request before execution.
 const REJECTED_HEADER: &str = "x-weirusher-turned-away";
@@ -37,6 +38,18 @@
     async fn stream_access_logs(
         &self,
         request: Request<Streaming<StreamAccessLogsMessage>>,
+    ) -> Result<Response<StreamAccessLogsResponse>, Status> {
+        // The proxy opens another stream; reports that are lost are closed at their attempts' deadlines.
+        let read = weirusher_panics::catch(self.read_reports(request)).await;
+        read.unwrap_or_else(|Panicked| Err(Status::internal("the stream's reader panicked")))
+    }
+}
+
+impl AccessLog {
+    /// Passes the reports of a stream to the engine, until its end.
+    async fn read_reports(
+        &self,
+        request: Request<Streaming<StreamAccessLogsMessage>>,
     ) -> Result<Response<StreamAccessLogsResponse>, Status> {
         let (mut stream, mut reports_done) = (request.into_inner(), self.reports_done.clone());
         loop {
@@ -47,6 +60,7 @@
             };
             let Some(message) = message else { break };
             let Some(LogEntries::HttpLogs(entries)) = message.log_entries else { continue };
+            weirusher_panics::reach("reports read");
             for entry in &entries.log_entry {
                 match attempt_report(&self.rules.ticket_header, entry) {
                     Some(report) => {
--- a/crates/ext-authz/src/services/ext_authz.rs
+++ b/crates/ext-authz/src/services/ext_authz.rs
@@ -18,6 +18,7 @@
 use tonic::{Code, Request, Response, Status};
 use weirusher_config::RequestRules;
 use weirusher_core::{CallerId, CheckFailure, CheckOutcome, DeliveryId, Grant};
+use weirusher_panics::Panicked;
 
 /// Retry-After, in seconds, when the engine's queue is full: about the time that it takes to empty it.
 const QUEUE_FULL_RETRY_AFTER_SECONDS: f64 = 1.0;
@@ -36,18 +37,29 @@
     caller: CallerId,
     outcome: oneshot::Receiver<(CheckOutcome, DeliveryId)>,
     engine: mpsc::Sender<ServiceEvent>,
-    received: bool,
+    /// Of the outcome that was received.
+    delivery: Option<DeliveryId>,
+    /// The response is made.
+    responded: bool,
+}
+
+impl OutcomeWaiter {
+    /// The outcome; `None` if the engine has ended.
+    async fn wait(&mut self) -> Option<CheckOutcome> {
+        let (outcome, delivery) = (&mut self.outcome).await.ok()?;
+        self.delivery = Some(delivery);
+        Some(outcome)
+    }
 }
 
 impl Drop for OutcomeWaiter {
     fn drop(&mut self) {
-        if self.received {
+        if self.responded {
             return;
         }
-        let event = match self.outcome.try_recv() {
-            Ok((_, delivery)) => ServiceEvent::Undelivered(delivery),
-            Err(_) => ServiceEvent::ClientClosed(self.caller),
-        };
+        let undelivered =
+            self.delivery.or_else(|| self.outcome.try_recv().ok().map(|(_, delivery)| delivery));
+        let event = undelivered.map_or(ServiceEvent::ClientClosed(self.caller), ServiceEvent::Undelivered);
         let _ = self.engine.try_send(event);
     }
 }
@@ -55,16 +67,20 @@
 #[tonic::async_trait]
 impl Authorization for ExtAuthz {
     async fn check(&self, request: Request<CheckRequest>) -> Result<Response<CheckResponse>, Status> {
+        // A grant that was decided before the panic was not delivered, and its attempt is closed as not sent.
+        let response = weirusher_panics::catch(self.decide(&request)).await;
+        Ok(Response::new(response.unwrap_or_else(|Panicked| failed(CheckFailure::RequestFailed))))
+    }
+}
+
+impl ExtAuthz {
+    /// The response to a check.
+    async fn decide(&self, request: &Request<CheckRequest>) -> CheckResponse {
         let check = match parse_check(&self.rules, request.get_ref().attributes.as_ref()) {
             Ok(check) => check,
             Err(error) => {
                 self.metrics.increment(|m| &m.invalid_checks);
-                return Ok(Response::new(denied(
-                    StatusCode::BadRequest,
-                    Code::InvalidArgument,
-                    &error.to_string(),
-                    None,
-                )));
+                return denied(StatusCode::BadRequest, Code::InvalidArgument, &error.to_string(), None);
             }
         };
         let (sender, outcome) = oneshot::channel();
@@ -72,19 +88,23 @@
         let pending = PendingCheck { caller, check, outcome: sender };
         if self.engine.try_send(ServiceEvent::Check(Box::new(pending))).is_err() {
             self.metrics.increment(|m| &m.queue_full);
-            return Ok(Response::new(rejected(QUEUE_FULL_RETRY_AFTER_SECONDS)));
+            return rejected(QUEUE_FULL_RETRY_AFTER_SECONDS);
         }
-        let mut waiter = OutcomeWaiter { caller, outcome, engine: self.engine.clone(), received: false };
-        let outcome = (&mut waiter.outcome).await;
-        waiter.received = true;
-        Ok(Response::new(match outcome {
-            Ok((CheckOutcome::Allowed(grant), _)) => allowed(&self.rules, &grant),
-            Ok((CheckOutcome::Rejected { retry_after }, _)) => rejected(retry_after),
-            Ok((CheckOutcome::Failed(failure), _)) => failed(failure),
-            Err(_) => {
+        let engine = self.engine.clone();
+        let mut waiter = OutcomeWaiter { caller, outcome, engine, delivery: None, responded: false };
+        weirusher_panics::reach("check pending");
+        let outcome = waiter.wait().await;
+        weirusher_panics::reach("check decided");
+        let response = match outcome {
+            Some(CheckOutcome::Allowed(grant)) => allowed(&self.rules, &grant),
+            Some(CheckOutcome::Rejected { retry_after }) => rejected(retry_after),
+            Some(CheckOutcome::Failed(failure)) => failed(failure),
+            None => {
                 denied(StatusCode::ServiceUnavailable, Code::Unavailable, "the gateway is stopping", None)
             }
-        }))
+        };
+        waiter.responded = true;
+        response
     }
 }
 
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use weirusher::{RequestId, Status};
 use weirusher_core::{SendError, SendLimits};
+use weirusher_panics::Panicked;
 use weirusher_platform::backend::{ForwardedRequest, MAX_RESPONSE_BYTES, attempt_status, parse_load_report};
 use weirusher_platform::response::{Response, ResponseReader};
 
@@ -40,12 +41,15 @@
 
 /// Makes the attempt and reports its end.
 pub async fn run(node: Rc<NodeContext>, attempt: Attempt) {
-    let result = match &attempt.endpoint {
-        None => AttemptResult::without_response(Status::NotSent),
-        Some(endpoint) => {
-            attempt.exchange(&node, endpoint.clone()).await.unwrap_or_else(AttemptResult::without_response)
-        }
+    let exchange = async {
+        let endpoint = attempt.endpoint.clone().ok_or(Status::NotSent)?;
+        attempt.exchange(&node, endpoint).await
     };
+    // After a panic as after a connection that breaks: once a byte was written it may have been executed.
+    let result = weirusher_panics::catch(exchange).await.unwrap_or_else(|Panicked| {
+        Err(if attempt.write_started.get() { Status::Reset } else { Status::NotSent })
+    });
+    let result = result.unwrap_or_else(AttemptResult::without_response);
     node.handle_attempt_ended(&attempt.id, attempt.number, result);
 }
 
@@ -64,6 +68,7 @@
             tokio::time::sleep(STALE_LIST_DELAY).await;
         }
         let connection = BackendConnection::acquire(node, &endpoint, self.write_timeout).await?;
+        weirusher_panics::reach("attempt unsent");
         let limits = match node.check_send(&self.id, self.number, &endpoint) {
             Ok(limits) => limits,
             Err(error) => {
@@ -78,6 +83,7 @@
         let mut buffer = BytesMut::with_capacity(BUFFER_CAPACITY);
         self.write_request(stream, &mut buffer, &limits).await?;
         let mut permit = node.response_bodies.permit();
+        weirusher_panics::reach("attempt sent");
         // Without a complete response the attempt may have been executed.
         let response = read_response(stream, &mut buffer, &mut permit).await.ok_or(Status::Reset)?;
         if !response.closes_connection && buffer.is_empty() {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 use weirusher::{RequestId, Time};
 use weirusher_core::IncomingRequest;
+use weirusher_panics::Panicked;
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::client::{ClientRequest, RequestError};
 use weirusher_wire::head::HeadSearch;
@@ -49,6 +50,19 @@
     }
 }
 
+/// How far a message has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// None is being read, or its head is not complete.
+    Waiting,
+    /// Its head was read.
+    HeadRead,
+    /// It was read whole, and has no response.
+    Pending,
+    /// Its response is being written.
+    Responding,
+}
+
 /// A client connection and its state.
 pub struct Connection {
     slot: ClientSlot,
@@ -58,8 +72,7 @@
     head_search: HeadSearch,
     /// A part of a request was received.
     is_reading: bool,
-    /// A request that was read has no response yet.
-    is_pending: bool,
+    progress: Progress,
     accepted_at: Time,
     /// When the first byte of the current or last request was received.
     first_byte_at: Time,
@@ -78,7 +91,7 @@
             buffer: BytesMut::with_capacity(BUFFER_CAPACITY),
             head_search: HeadSearch::default(),
             is_reading: false,
-            is_pending: false,
+            progress: Progress::Waiting,
             accepted_at,
             first_byte_at: accepted_at,
             requests: 0,
@@ -88,7 +101,11 @@
     /// Serves the requests of the connection until it closes.
     pub async fn serve(mut self) {
         let reason = loop {
-            if let Err(reason) = self.serve_next().await {
+            let served = match weirusher_panics::catch(self.serve_next()).await {
+                Ok(served) => served,
+                Err(Panicked) => self.respond_after_panic().await,
+            };
+            if let Err(reason) = served {
                 break reason;
             }
         };
@@ -96,7 +113,9 @@
         node.connections.closed(reason);
         if matches!(reason, CloseReason::Idle | CloseReason::NoRequest | CloseReason::Shutdown) {
             let has_unread_request = matches!(HeadSearch::default().find_end(&self.buffer), Ok(Some(_)));
-            node.handle_connection_closed(usize::from(self.is_pending) + usize::from(has_unread_request));
+            node.handle_connection_closed(
+                usize::from(self.progress == Progress::Pending) + usize::from(has_unread_request),
+            );
         }
         let (connection, requests, open) = (self.slot.id, self.requests, node.now() - self.accepted_at);
         log_step!(node, %reason, connection, requests, open, "connection closed");
@@ -128,7 +147,7 @@
         let unread_for = self.socket.time_since_received().as_secs_f64();
         self.log_request_read(&request, unread_for);
         self.requests += 1;
-        self.is_pending = true;
+        self.progress = Progress::Pending;
         self.close_signal.withdraw();
         self.slot.set_active();
         let close = request.closes_connection;
@@ -138,11 +157,11 @@
             return self.reject_invalid(RequestError::DuplicateId).await;
         };
         let mut withdraw = WithdrawOnDrop { node, id, answered: false };
+        weirusher_panics::reach("request pending");
         let response = self.await_response(response).await?;
         withdraw.answered = true;
         let close = close || self.is_last_response();
         self.write_response(response, close).await?;
-        self.is_pending = false;
         self.finish_message(close).await
     }
 
@@ -160,6 +179,7 @@
 
     /// A message was answered: the connection closes, or goes on with what was read ahead or idle.
     async fn finish_message(&mut self, close: bool) -> Result<(), CloseReason> {
+        self.progress = Progress::Waiting;
         if close {
             self.lingering_close().await;
             let shutting_down = self.is_shutting_down();
--- a/crates/node/src/connection/read.rs
+++ b/crates/node/src/connection/read.rs
@@ -1,6 +1,6 @@
 //! Reads the messages of a client.
 
-use super::Connection;
+use super::{Connection, Progress};
 use crate::byte_budget::BytePermit;
 use crate::metrics::CloseReason;
 use bytes::Bytes;
@@ -55,6 +55,8 @@
     /// Parses the head, which ends at `end` in the buffer, and reads the body.
     async fn read_after_head(&mut self, end: usize) -> Result<Received, ReadError> {
         let head = self.buffer.split_to(end);
+        self.progress = Progress::HeadRead;
+        weirusher_panics::reach("head read");
         let mut slots = EMPTY_HEADERS;
         let head = parse_request(&head, &mut slots)?;
         let mut request = match read_head(&self.slot.node.catalog, &head)? {
--- a/crates/node/src/connection/respond.rs
+++ b/crates/node/src/connection/respond.rs
@@ -1,6 +1,6 @@
 //! Writes the responses to a client, and closes its connection after the last one.
 
-use super::Connection;
+use super::{Connection, Progress};
 use crate::context::{ClientResponse, CompleteResponse};
 use crate::log::log_step;
 use crate::metrics::CloseReason;
@@ -54,7 +54,33 @@
                 Bytes::new()
             }
         };
-        self.write(head.chain(body)).await
+        self.respond(head.chain(body)).await
+    }
+
+    /// Writes a response, after which no other may be written for the same message.
+    async fn respond(&mut self, response: impl Buf) -> Result<(), CloseReason> {
+        self.progress = Progress::Responding;
+        weirusher_panics::reach("response started");
+        self.write(response).await
+    }
+
+    /// The message that was being served ended by a panic. It is answered as after an attempt that may have been executed,
+    /// if it was read and no byte of a response was written. Otherwise the connection closes.
+    pub(super) async fn respond_after_panic(&mut self) -> Result<(), CloseReason> {
+        let is_complete = match self.progress {
+            Progress::Waiting | Progress::Responding => return Err(CloseReason::Panicked),
+            Progress::HeadRead => false,
+            Progress::Pending => true,
+        };
+        let close = !is_complete || self.is_last_response();
+        let mut head = BytesMut::with_capacity(HEAD_CAPACITY);
+        write_failed(&mut head, close);
+        self.respond(head).await?;
+        if is_complete {
+            return self.finish_message(close).await;
+        }
+        self.lingering_close_discarding().await;
+        Err(CloseReason::Panicked)
     }
 
     pub(super) async fn answer_readiness_check(&mut self, close: bool) -> Result<(), CloseReason> {
@@ -62,7 +88,7 @@
         let is_ready = self.slot.node.has_endpoint_list.get() && !self.is_shutting_down();
         let mut head = BytesMut::new();
         write_readiness(&mut head, is_ready, close);
-        self.write(head).await?;
+        self.respond(head).await?;
         self.finish_message(close).await
     }
 
@@ -71,7 +97,7 @@
         log_step!(self.slot.node, %error, connection = self.slot.id, "request invalid");
         let mut head = BytesMut::new();
         write_error(&mut head, error);
-        self.write(head).await?;
+        self.respond(head).await?;
         self.lingering_close_discarding().await;
         Err(CloseReason::InvalidRequest)
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -7,9 +7,10 @@
 use crate::client_socket::ClientSocket;
 use crate::close_signal::CloseSignal;
 use crate::metrics::ConnectionMetrics;
+use crate::panics::{Failure, SharedState};
 use crate::wakeup::Wakeup;
 use bytes::Bytes;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -113,7 +114,9 @@
     pub connect_timeout: f64,
     /// Seconds that a counter call may take.
     pub counter_timeout: f64,
-    pub state: RefCell<NodeState>,
+    pub state: SharedState,
+    /// Raised by a panic that all requests may suffer from: the node shuts down.
+    pub failure: Rc<Failure>,
     /// For the timers of the proxy core.
     pub proxy_wakeup: Wakeup,
     /// For the eviction of connections from the slots and the pool.
@@ -144,6 +147,7 @@
         let (clock, budget) = (Clock::start(), ResourceBudget::new(&config.limits));
         let (platform, settings) = (&config.platform, &config.platform.settings);
         let proxy = ProxyCore::new(settings.clone(), config.seed, clock.now())?;
+        let failure = Rc::new(Failure::default());
         let pool_timeout = IDLE_TIMEOUT_FRACTION * platform.connection_idle_timeout;
         Ok(Rc::new(Self {
             clock,
@@ -153,18 +157,22 @@
             response_bodies: ByteBudget::new(budget.body_bytes),
             connect_timeout: settings.connect_timeout,
             counter_timeout: settings.counter_timeout,
-            state: RefCell::new(NodeState {
-                proxy,
-                pending: HashMap::new(),
-                attempts: HashMap::new(),
-                pool: ConnectionPool::new(budget.backend_connections, pool_timeout),
-                addresses: HashMap::new(),
-                slots: ConnectionSlots::new(budget.client_connections),
-                last_slot: 0,
-                close_signals: HashMap::new(),
-                counter_calls: VecDeque::new(),
-                outputs: Vec::new(),
-            }),
+            state: SharedState::new(
+                NodeState {
+                    proxy,
+                    pending: HashMap::new(),
+                    attempts: HashMap::new(),
+                    pool: ConnectionPool::new(budget.backend_connections, pool_timeout),
+                    addresses: HashMap::new(),
+                    slots: ConnectionSlots::new(budget.client_connections),
+                    last_slot: 0,
+                    close_signals: HashMap::new(),
+                    counter_calls: VecDeque::new(),
+                    outputs: Vec::new(),
+                },
+                failure.clone(),
+            ),
+            failure,
             proxy_wakeup: Wakeup::default(),
             eviction_wakeup: Wakeup::default(),
             has_counter: Cell::new(true),
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -1,6 +1,7 @@
 //! The client of the counter: calls are pipelined over a few connections to its address.
 
 use crate::context::{CounterCall, NodeContext};
+use crate::panics::spawn_shared;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -123,7 +124,8 @@
             outboxes.push(Rc::default());
         }
         outboxes[connection] = Rc::default();
-        tokio::task::spawn_local(self.clone().run_connection(connection, outboxes[connection].clone()));
+        let serving = self.clone().run_connection(connection, outboxes[connection].clone());
+        spawn_shared(&self.node, "counter connection", serving);
     }
 
     /// Opens a connection and serves its calls until it closes; those that are left then fail.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -70,9 +70,10 @@
                 // Responses first: after a stall of the process they wait in the sockets, and need no further poll.
                 biased;
                 Some(ended) = self.polls.join_next() => {
-                    // An aborted poll is ignored.
-                    if let Ok((connection, response)) = ended {
-                        self.handle_poll_ended(connection, response);
+                    match ended {
+                        Ok((connection, response)) => self.handle_poll_ended(connection, response),
+                        Err(error) if error.is_panic() => self.node.failure.raise(),
+                        Err(_) => {} // It was aborted.
                     }
                 }
                 Some(connection) = started.recv() => {
--- a/crates/node/src/fleet_membership.rs
+++ b/crates/node/src/fleet_membership.rs
@@ -1,7 +1,10 @@
 //! The membership of a node in its fleet. The platform starts nodes without it.
 
-use crate::start_error::StartError;
+use crate::context::NodeContext;
+use crate::panics::spawn_shared;
+use crate::run_error::RunError;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use weirusher_config::FleetConfig;
 use weirusher_peers::{Peers, page};
 use weirusher_platform::config::Config;
@@ -19,21 +22,21 @@
     ///
     /// # Errors
     /// The fleet file does not belong to the configuration, or an address cannot be used.
-    pub(crate) async fn start(self, config: &Config) -> Result<(), StartError> {
+    pub(crate) async fn start(self, node: &Rc<NodeContext>, config: &Config) -> Result<(), RunError> {
         let (fleet, settings) = (&self.config.settings, &config.platform.settings);
         let (fleet_instance, fleet_size) = (fleet.instance, fleet.members.len());
         let (instance, instances) = (settings.instance, settings.instances);
         if (u32::from(fleet_instance), fleet_size) != (instance, instances as usize) {
-            return Err(StartError::FleetMismatch { fleet_instance, fleet_size, instance, instances });
+            return Err(RunError::FleetMismatch { fleet_instance, fleet_size, instance, instances });
         }
         let page_address = self.config.admin.unwrap_or(config.listen);
-        let page_error = |error| StartError::FleetPage(page_address, error);
+        let page_error = |error| RunError::FleetPage(page_address, error);
         let listener = weirusher_net::bind(page_address).await.map_err(page_error)?;
         let page_address = listener.local_addr().map_err(page_error)?;
         let (peers, task) = Peers::start(self.config).await?;
         (self.on_listening)(peers.address, page_address);
-        tokio::spawn(task);
-        tokio::spawn(page::serve(listener, peers));
+        spawn_shared(node, "membership", task);
+        spawn_shared(node, "fleet page", page::serve(listener, peers));
         Ok(())
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,11 +24,12 @@
 mod listener;
 mod log;
 mod metrics;
+mod panics;
 mod run;
+mod run_error;
 mod services;
-mod start_error;
 mod wakeup;
 
 pub use fleet_membership::FleetMembership;
 pub use run::run;
-pub use start_error::StartError;
+pub use run_error::RunError;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -22,10 +22,12 @@
     InvalidRequest,
     /// This gateway is shutting down.
     Shutdown,
+    /// Its task panicked.
+    Panicked,
 }
 
 impl CloseReason {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::ClientClosed,
         Self::ClientGone,
         Self::ClientRequestedClose,
@@ -34,6 +36,7 @@
         Self::NoRequest,
         Self::InvalidRequest,
         Self::Shutdown,
+        Self::Panicked,
     ];
 
     /// The name in log lines.
@@ -47,6 +50,7 @@
             Self::NoRequest => "no_request",
             Self::InvalidRequest => "invalid_request",
             Self::Shutdown => "shutdown",
+            Self::Panicked => "panicked",
         }
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -3,14 +3,15 @@
 use crate::context::NodeContext;
 use crate::fleet_membership::FleetMembership;
 use crate::listener;
+use crate::panics::spawn_shared;
+use crate::run_error::RunError;
 use crate::services::ServiceClients;
-use crate::start_error::StartError;
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::JoinHandle;
 use weirusher_net::Listener;
 use weirusher_platform::config::Config;
 
@@ -47,27 +48,27 @@
     }
 }
 
-fn read_config(file: &Path) -> Result<Config, StartError> {
-    let text = std::fs::read(file).map_err(|error| StartError::Read(file.to_path_buf(), error))?;
-    Config::parse(&text).map_err(|error| StartError::Config(file.to_path_buf(), error))
+fn read_config(file: &Path) -> Result<Config, RunError> {
+    let text = std::fs::read(file).map_err(|error| RunError::Read(file.to_path_buf(), error))?;
+    Config::parse(&text).map_err(|error| RunError::Config(file.to_path_buf(), error))
 }
 
 /// Runs the node that `file` configures until SIGTERM or SIGINT, and returns how many requests were left without a
 /// response. Has to run inside a [`tokio::task::LocalSet`].
 ///
 /// # Errors
-/// The node cannot start.
-pub async fn run(file: &Path, fleet: Option<FleetMembership>) -> Result<usize, StartError> {
-    let mut signals = Signals::new().map_err(StartError::Signals)?;
+/// The node cannot start, or it shut down because of a panic.
+pub async fn run(file: &Path, fleet: Option<FleetMembership>) -> Result<usize, RunError> {
+    let mut signals = Signals::new().map_err(RunError::Signals)?;
     let mut config = read_config(file)?;
-    let node = NodeContext::new(&config).map_err(|error| StartError::Settings(file.to_path_buf(), error))?;
+    let node = NodeContext::new(&config).map_err(|error| RunError::Settings(file.to_path_buf(), error))?;
     let listener = tokio::select! {
         listener = weirusher_net::bind(config.listen) => listener,
         () = signals.stop() => return Ok(0), // Nothing was accepted yet.
     };
-    let listener = listener.map_err(|error| StartError::Listen(config.listen, error))?;
+    let listener = listener.map_err(|error| RunError::Listen(config.listen, error))?;
     if let Some(fleet) = fleet {
-        fleet.start(&config).await?;
+        fleet.start(&node, &config).await?;
     }
     tracing::info!(name = config.name, listen = %config.listen, ?node.budget, "serving");
     match std::mem::replace(&mut config.cached_list, Ok(None)) {
@@ -76,10 +77,11 @@
         Err(error) => tracing::warn!(%error, "the cached list is not used; discovery is polled first"),
     }
     let accepting = serve(&node, config, listener, &mut signals, file).await;
-    Ok(shut_down(&node, accepting).await)
+    let pending = shut_down(&node, accepting).await;
+    if node.failure.is_raised() { Err(RunError::Panicked) } else { Ok(pending) }
 }
 
-/// Serves clients and reloads the configuration until the signal to stop. Returns the task that accepts connections.
+/// Serves clients and reloads the configuration until the signal to stop, or a failure. Returns the task that accepts connections.
 async fn serve(
     node: &Rc<NodeContext>,
     config: Config,
@@ -88,9 +90,7 @@
     file: &Path,
 ) -> JoinHandle<()> {
     let mut clients = ServiceClients::start(node.clone(), config);
-    spawn_local(run_proxy_timers(node.clone()));
-    spawn_local(run_evictions(node.clone()));
-    let accepting = spawn_local(listener::accept(node.clone(), listener));
+    let accepting = spawn_tasks(node, listener);
     loop {
         tokio::select! {
             _ = signals.reload.recv() => match read_config(file) {
@@ -99,15 +99,24 @@
             },
             _ = signals.terminate.recv() => return accepting,
             _ = signals.interrupt.recv() => return accepting,
+            () = node.failure.wait() => return accepting,
         }
     }
 }
 
+/// Spawns what serves clients. Returns the task that accepts connections.
+pub(crate) fn spawn_tasks(node: &Rc<NodeContext>, listener: Listener) -> JoinHandle<()> {
+    spawn_shared(node, "timers", run_proxy_timers(node.clone()));
+    spawn_shared(node, "evictions", run_evictions(node.clone()));
+    spawn_shared(node, "accept", listener::accept(node.clone(), listener))
+}
+
 /// Runs the timers of the proxy core.
 async fn run_proxy_timers(node: Rc<NodeContext>) {
     loop {
         let due = node.state.borrow().proxy.next_timeout();
         node.proxy_wakeup.wait(&node.clock, due).await;
+        weirusher_panics::reach("timers");
         node.handle_timeout();
     }
 }
@@ -165,6 +174,7 @@
         metrics = ?state.proxy.metrics(),
         connections = ?node.connections,
         violations = ?state.proxy.violations(),
+        panics = weirusher_panics::count(),
         log_lines_dropped = weirusher_log::dropped_lines(),
         "stopped"
     );
--- a/crates/node/src/start_error.rs
+++ b/crates/node/src/run_error.rs
@@ -1,4 +1,4 @@
-//! Why a node cannot start.
+//! Why a node cannot start, or ended by itself.
 
 use std::io;
 use std::net::SocketAddr;
@@ -6,10 +6,10 @@
 use weirusher_core::EngineError;
 use weirusher_platform::config::ConfigError;
 
-/// Why a node cannot start.
+/// Why a node cannot start, or ended by itself.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
-pub enum StartError {
+pub enum RunError {
     /// The configuration file cannot be read.
     #[error("{0}: {1}")]
     Read(PathBuf, io::Error),
@@ -45,4 +45,7 @@
     /// The fleet page cannot listen on its address.
     #[error("cannot listen on {0}: {1}")]
     FleetPage(SocketAddr, io::Error),
+    /// A panic may have broken what all requests depend on; the node shut down in order.
+    #[error("shut down after a panic")]
+    Panicked,
 }
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -3,9 +3,10 @@
 use crate::context::NodeContext;
 use crate::counter::CounterClient;
 use crate::discovery::DiscoveryClient;
+use crate::panics::spawn_shared;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::AbortHandle;
 use weirusher_core::PollTiming;
 use weirusher_platform::config::Config;
 
@@ -32,7 +33,8 @@
         let platform = &config.platform;
         let timing = PollTiming::new(platform.drain_grace, platform.settings.polls_endpoints);
         let (zones, seed) = (platform.zones.clone(), config.seed);
-        spawn_local(DiscoveryClient::run(node.clone(), config.discovery, zones, timing, seed)).abort_handle()
+        let client = DiscoveryClient::run(node.clone(), config.discovery, zones, timing, seed);
+        spawn_shared(node, "discovery", client).abort_handle()
     }
 
     /// Starts the client of the counter at `address`, in place of the one before.
@@ -44,7 +46,7 @@
             address.map(|address| CounterClient::new(self.node.clone(), address, self.config.seed));
         self.node.set_has_counter(self.counter.is_some());
         if let Some(counter) = &self.counter {
-            spawn_local(counter.clone().run());
+            spawn_shared(&self.node, "counter", counter.clone().run());
         }
     }
 
