Files are read beside what serves: a disk that hangs delays no request, reload or shutdown

Cause: std::fs::read in node::run and in the discovery client, on the threads that serve.

Evidence: a named pipe in the file's place. tests/node/configuration.rs (requests, a later reload and SIGTERM beside a read that hangs) and tests/kept_list.rs fail on, the first request after 3 s, the list after 30 s.

Why this works: both reads run on threads for blocking work; a reload counts once its file is read, the last one asked for is followed, and the select beside it goes on serving signals. The cached list is waited for for 1 s. The runtime is left without waiting for such threads at the end.

--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -9,6 +9,9 @@
 use weirusher_config::{Config, ConfigError, FleetConfig};
 use weirusher_node::FleetMembership;
 
+/// Reads of a node's configuration that may hang at once; later ones wait for them.
+const MAX_CONFIG_READS: usize = 8;
+
 /// Parses a configuration file.
 fn parse_file<T>(file: &Path, parse: fn(&str) -> Result<T, ConfigError>) -> Result<T, CommandError> {
     let text = super::scenario::read_input(file)?;
@@ -47,12 +50,14 @@
         config,
         on_listening: |fleet, admin| print_json(&json!({ "fleet": fleet, "admin": admin })),
     });
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(CommandError::Runtime)?;
-    let pending = tokio::task::LocalSet::new()
-        .block_on(&runtime, weirusher_node::run(config, fleet))
-        .map_err(|error| CommandError::Gateway(error.into()))?;
-    warn_of_pending(pending);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(MAX_CONFIG_READS)
+        .build()
+        .map_err(CommandError::Runtime)?;
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, weirusher_node::run(config, fleet));
+    runtime.shutdown_background(); // A read of the configuration may hang.
+    warn_of_pending(ended.map_err(|error| CommandError::Gateway(error.into()))?);
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/cli/tests/kept_list.rs
+++ b/crates/cli/tests/kept_list.rs
@@ -246,3 +246,27 @@
     site.until_stored(&NEW).await;
     assert!(short.into_iter().all(|fault| site.shim.end(fault) > 100));
 }
+
+/// Guards against a start that waits for its disk, and never asks discovery.
+#[tokio::test]
+async fn a_list_whose_reading_hangs_delays_neither_discovery_nor_the_shutdown() {
+    let site = Site::new().await;
+    std::fs::remove_file(site.list()).unwrap();
+    // A pipe that nobody writes to: reading it does not end.
+    nix::unistd::mkfifo(&site.list(), nix::sys::stat::Mode::S_IRWXU).unwrap();
+    let mut gateway = site.start(true);
+    assert!(announced(&mut gateway));
+    let replaced = async {
+        while !site.list().metadata().unwrap().is_file() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, replaced).await.expect("discovery's list is stored");
+    site.until_stored(&NEW).await;
+    assert!(site.log_text().contains("not read in time"), "{}", site.log_text());
+    let id = nix::unistd::Pid::from_raw(gateway.0.id() as i32);
+    nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
+    assert!(
+        tokio::time::timeout(Duration::from_secs(5), ended(&mut gateway.0)).await.expect("in time").success()
+    );
+}
--- a/crates/cli/tests/node/configuration.rs
+++ b/crates/cli/tests/node/configuration.rs
@@ -1,9 +1,11 @@
 //! Configurations: several reloads, and invalid ones at the start.
 
 use crate::platform::{STOP_WITHIN, configuration};
+use crate::process::ended;
 use crate::support::{ANY_PORT, LIMIT, Site, id, last_attempt_at_draining_backend, list, request};
 use nix::sys::signal::Signal;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use weirusher_fakes::{DiscoveryAgent, ScriptedServer, counting};
 
 #[tokio::test]
@@ -82,3 +84,38 @@
         .unwrap();
     assert!(!missing.status.success() && String::from_utf8_lossy(&missing.stderr).contains("none"));
 }
+
+/// Guards against a reload that waits for its file in the thread that serves.
+#[tokio::test]
+async fn a_configuration_whose_reading_hangs_delays_no_request_no_later_reload_and_no_shutdown() {
+    let mut site = Site::start(2).await;
+    let valid = std::fs::read_to_string(&site.file).unwrap();
+    std::fs::remove_file(&site.file).unwrap();
+    // A pipe that nobody writes to: reading it does not end.
+    nix::unistd::mkfifo(&site.file, nix::sys::stat::Mode::S_IRWXU).unwrap();
+    site.signal(Signal::SIGHUP);
+    let mut client = site.client().await;
+    let mut exchange = async || {
+        let text = request(&id(), "iso", 3000);
+        let response = tokio::time::timeout(Duration::from_secs(3), client.exchange(&text)).await;
+        assert_eq!(response.expect("in time").unwrap().status, 200);
+    };
+    for _ in 0..20 {
+        exchange().await;
+    }
+    // A later reload is followed: discovery moves.
+    let moved = DiscoveryAgent::start(ANY_PORT, 7, list(7, &[("s-0", site.backends[0].address, "SERVING")]));
+    let moved = moved.await.unwrap();
+    let text = valid.replace(&site.discovery.address().to_string(), &moved.address().to_string());
+    let other = site.file.with_extension("other");
+    std::fs::write(&other, text).unwrap();
+    std::fs::rename(&other, &site.file).unwrap();
+    site.signal(Signal::SIGHUP);
+    tokio::time::timeout(LIMIT, moved.wait_until_list_received(7)).await.expect("the reload is followed");
+    exchange().await;
+    site.signal(Signal::SIGTERM);
+    let signalled = Instant::now();
+    drop(client);
+    assert!(ended(&mut site.child).await.success());
+    assert!(signalled.elapsed() < Duration::from_secs(3), "{:?}", signalled.elapsed());
+}
--- a/crates/ext-authz/src/clients/discovery.rs
+++ b/crates/ext-authz/src/clients/discovery.rs
@@ -70,7 +70,10 @@
 impl DiscoveryClient {
     /// Hands the cached list on, then follows discovery until the engine ends.
     pub async fn run(mut self) {
-        let endpoints = self.config.cache_file.as_deref().map_or_else(Vec::new, endpoint_cache::load);
+        let endpoints = match self.config.cache_file.clone() {
+            Some(file) => endpoint_cache::load_in_time(file).await,
+            None => Vec::new(),
+        };
         let cached = ClientEvent::EndpointList { kind: EndpointListKind::StaleSnapshot, endpoints };
         if self.engine.send(cached).await.is_err() {
             return;
--- a/crates/ext-authz/src/endpoint_cache.rs
+++ b/crates/ext-authz/src/endpoint_cache.rs
@@ -16,6 +16,9 @@
 /// Delay before a list that could not be written is tried again.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Longest wait for the cached list at the start.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// An endpoint in the file. Draining endpoints are not written.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct CachedEndpoint {
@@ -43,6 +46,20 @@
     }
 }
 
+/// Loads the cached endpoint list on another thread. It is empty if that takes too long: a disk that hangs must not keep
+/// discovery from being asked.
+pub async fn load_in_time(path: PathBuf) -> Vec<Endpoint> {
+    let file = path.clone();
+    let loaded = tokio::task::spawn_blocking(move || load(&file));
+    match tokio::time::timeout(LOAD_TIMEOUT, loaded).await {
+        Ok(loaded) => loaded.unwrap_or_default(), // After a panic, which the hook has logged.
+        Err(_) => {
+            tracing::warn!(path = %path.display(), "the cached endpoint list is not read in time; starting without one");
+            Vec::new()
+        }
+    }
+}
+
 /// Loads the cached endpoint list. It is empty if there is no file or the file is damaged, which is logged.
 pub fn load(path: &Path) -> Vec<Endpoint> {
     let text = match std::fs::read(path) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod client_slot;
 mod client_socket;
 mod close_signal;
+mod config_file;
 mod connection;
 mod context;
 mod counter;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a node from its start to the end of its graceful shutdown.
 
+use crate::config_file::ConfigReader;
 use crate::context::NodeContext;
 use crate::fleet_membership::FleetMembership;
 use crate::listener;
@@ -48,11 +49,6 @@
     }
 }
 
-fn read_config(file: &Path) -> Result<Config, RunError> {
-    let text = std::fs::read(file).map_err(|error| RunError::Read(file.to_path_buf(), error))?;
-    Config::parse(&text).map_err(|error| RunError::Config(file.to_path_buf(), error))
-}
-
 /// Runs the node that `file` configures until SIGTERM or SIGINT, and returns how many requests were left without a
 /// response. Has to run inside a [`tokio::task::LocalSet`].
 ///
@@ -60,11 +56,16 @@
 /// The node cannot start, or it shut down because of a panic.
 pub async fn run(file: &Path, fleet: Option<FleetMembership>) -> Result<usize, RunError> {
     let mut signals = Signals::new().map_err(RunError::Signals)?;
-    let mut config = read_config(file)?;
+    let mut reader = ConfigReader::new(file);
+    reader.start();
+    let mut config = tokio::select! {
+        config = reader.finished() => config?,
+        () = signals.stop() => return Ok(0), // Nothing was accepted yet.
+    };
     let node = NodeContext::new(&config).map_err(|error| RunError::Settings(file.to_path_buf(), error))?;
     let listener = tokio::select! {
         listener = weirusher_net::bind(config.listen) => listener,
-        () = signals.stop() => return Ok(0), // Nothing was accepted yet.
+        () = signals.stop() => return Ok(0),
     };
     let listener = listener.map_err(|error| RunError::Listen(config.listen, error))?;
     if let Some(fleet) = fleet {
@@ -76,7 +77,7 @@
         Ok(None) => {}
         Err(error) => tracing::warn!(%error, "the cached list is not used; discovery is polled first"),
     }
-    let accepting = serve(&node, config, listener, &mut signals, file).await;
+    let accepting = serve(&node, config, listener, &mut signals, reader).await;
     let pending = shut_down(&node, accepting).await;
     if node.failure.is_raised() { Err(RunError::Panicked) } else { Ok(pending) }
 }
@@ -87,13 +88,14 @@
     config: Config,
     listener: Listener,
     signals: &mut Signals,
-    file: &Path,
+    mut reader: ConfigReader,
 ) -> JoinHandle<()> {
     let mut clients = ServiceClients::start(node.clone(), config);
     let accepting = spawn_tasks(node, listener);
     loop {
         tokio::select! {
-            _ = signals.reload.recv() => match read_config(file) {
+            _ = signals.reload.recv() => reader.start(),
+            config = reader.finished() => match config {
                 Ok(config) => clients.reload(&config),
                 Err(error) => tracing::warn!(%error, "the configuration stays as it was"),
             },
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -23,6 +23,8 @@
   "panic-shared|crates/node/src/panics.rs|if std::thread::panicking() \&\& !self.was_panicking {|if false {|test:weirusher-node"
   "panic-engine|crates/ext-authz/src/shared_task.rs|failed.send_replace(true);||test:weirusher-ext-authz"
   "panic-grant|crates/ext-authz/src/services/ext_authz.rs|self.delivery = Some(delivery);|let _ = delivery;|test:weirusher-ext-authz"
+  "reload-blocks|crates/node/src/config_file.rs|self.last = Some(tokio::task::spawn_blocking(move \|\| read(\&file)));|self.last = Some(tokio::spawn(async move { read(\&file) }));|test:weirusher-cli"
+  "cache-blocks|crates/ext-authz/src/endpoint_cache.rs|tokio::time::timeout(LOAD_TIMEOUT, loaded)|tokio::time::timeout(Duration::MAX, loaded)|test:weirusher-cli"
   "drained|src/policy/endpoint_list.rs|backend.running = entry.lifecycle == Lifecycle::Running;|backend.running = true;|drains"
   "cold-budget|src/policy/selection.rs|if score < best_score \&\& self.slow_start_budget(index, candidates) >= 1.0 {|if score < best_score {|cold"
   "cold-ramp|src/policy/tuning.rs|const SLOW_START_FRACTION: f64 = 0.4;|const SLOW_START_FRACTION: f64 = 1.6;|test:weirusher"
