soak: series of signals, crowds, and clients that use their connections until the kill

Change: Plan::hostile adds series of SIGHUP (valid, invalid, missing, directory, hanging pipe) with SIGTERM twice, SIGHUP, SIGSTOP and SIGCONT behind it and SIGTERM in the first second of a life; a quarter of the connections send without a pause until they end; every third seed has crowds of 300 connections.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -27,6 +27,8 @@
 const RESET_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The wait for an error or a close of an incomplete request, which is due within 3 s.
 const STALLED_WAIT: Duration = Duration::from_millis(3500);
+/// One in so many connections is that of a persistent client, where the plan has them.
+const PERSISTENT_INTERVAL: u8 = 4;
 /// Percentage of the requests that come from customers with a ceiling.
 const LIMITED_PERCENT: u8 = 15;
 
@@ -47,6 +49,8 @@
     ClosingEarly,
     /// Sends a part of a request and keeps the connection open.
     Stalled,
+    /// Sends one request after another without a pause until the connection ends, though a response asks it to close.
+    Persistent,
 }
 
 impl Behaviour {
@@ -72,6 +76,7 @@
             Self::Pipelined => "pipelined",
             Self::ClosingEarly => "closing",
             Self::Stalled => "stalled",
+            Self::Persistent => "persistent",
         }
     }
 }
@@ -105,7 +110,8 @@
                 continue;
             };
             let _ = stream.set_nodelay(true); // Without it requests are merely later.
-            let behaviour = Behaviour::draw(&mut rng);
+            let is_persistent = self.plan.persistent_clients && rng.u8(0..PERSISTENT_INTERVAL) == 0;
+            let behaviour = if is_persistent { Behaviour::Persistent } else { Behaviour::draw(&mut rng) };
             let connection = Connection {
                 shared: &self,
                 stream,
@@ -162,7 +168,10 @@
 
 impl Connection<'_> {
     async fn run(mut self) {
-        let rounds = self.rng.usize(1..6);
+        let rounds = match self.behaviour {
+            Behaviour::Persistent => usize::MAX,
+            _ => self.rng.usize(1..6),
+        };
         for _ in 0..rounds {
             if Instant::now() >= self.shared.end || !self.round().await {
                 return;
@@ -182,6 +191,7 @@
             Behaviour::Pipelined => self.send_pipelined().await,
             Behaviour::ClosingEarly => self.send_and_close().await,
             Behaviour::Stalled => self.send_incomplete().await,
+            Behaviour::Persistent => self.send_after_pause(0..20).await,
         }
     }
 
@@ -282,7 +292,8 @@
         let is_retry = self.rng.u8(0..10) == 0;
         let remaining = if is_retry { 0.02 + 0.5 * self.rng.f64() } else { 1.0 };
         let time_budget = self.shared.plan.deadline * remaining;
-        Draft::new(&self.shared.plan, id, class, limited_customer, time_budget, &mut self.rng)
+        let node = self.incarnation.node;
+        Draft::new(&self.shared.plan, node, id, class, limited_customer, time_budget, &mut self.rng)
     }
 
     /// Pauses; returns `false` where the connection ended meanwhile.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,5 +1,8 @@
 //! Injects the faults of a plan.
 
+mod crowd;
+mod signals;
+
 use crate::backend::Health;
 use crate::fleet::Fleet;
 use crate::node::Node;
@@ -40,7 +43,11 @@
     let node = fleet.nodes[rng.usize(0..fleet.nodes.len())].clone();
     let backend = rng.usize(0..fleet.backends.len());
     match fault.kind {
-        FaultKind::Restart | FaultKind::Crash | FaultKind::Reload | FaultKind::InvalidReload => {
+        FaultKind::Restart
+        | FaultKind::Crash
+        | FaultKind::Reload
+        | FaultKind::InvalidReload
+        | FaultKind::SignalSeries => {
             // One at a time for each node.
             let Ok(_lock) = node.signal_lock.try_lock() else { return Ok(()) };
             fleet.recorder.count_fault(fault.kind.name());
@@ -64,6 +71,7 @@
         }
         FaultKind::SilentDiscovery => node.silence_discovery(fault.duration).await,
         FaultKind::ResetDiscovery => node.discovery.iter().for_each(Link::reset),
+        FaultKind::Crowd => crowd::gather(&node, fault.duration, &mut rng).await,
         FaultKind::CounterUnreachable => disconnect_counter(&node, fault.duration).await,
         _ => inject_in_process(&node, fault, &mut rng).await,
     }
@@ -82,6 +90,7 @@
         }
         FaultKind::Crash => node.crash().await,
         FaultKind::Reload => node.reload().await,
+        FaultKind::SignalSeries => signals::send_series(node, rng).await,
         _ => {
             node.reload_invalid(INVALID_CONFIGS[rng.usize(0..INVALID_CONFIGS.len())])?;
             sleep(fault.duration).await;
--- a/crates/soak/src/growth/site.rs
+++ b/crates/soak/src/growth/site.rs
@@ -23,6 +23,8 @@
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 /// Requests a second of all clients together.
 const REQUEST_RATE: f64 = 30.0;
+/// The number of the one node that runs.
+const MEASURED_NODE: usize = 0;
 /// The number of clients, each with one connection.
 const CLIENTS: usize = 8;
 /// The deadline of the requests, in seconds.
@@ -164,7 +166,7 @@
     while Instant::now() < end {
         ticks.tick().await;
         let id = format!("{:016x}", (number as u64) << 32 | u64::from(counts.sent));
-        let draft = Draft::new(&plan, id, Class::Idempotent, None, DEADLINE, &mut rng);
+        let draft = Draft::new(&plan, MEASURED_NODE, id, Class::Idempotent, None, DEADLINE, &mut rng);
         counts.sent += 1;
         match timeout(TIMEOUT, exchange(&mut stream, listen, &draft.bytes)).await {
             Ok(Ok(status)) => counts.served += u32::from(status == 200),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -23,18 +23,31 @@
     /// Seconds for which clients begin requests.
     #[arg(long, default_value_t = 15.0)]
     seconds: f64,
+    /// Leaves out series of signals, crowds, and clients that use their connections until the kill.
+    #[arg(long)]
+    plain: bool,
     /// The directory for configurations and logs of soaks with findings; without it they are deleted.
     #[arg(long)]
     keep: Option<PathBuf>,
 }
 
+impl Arguments {
+    fn plan(&self, seed: u64, nodes: usize) -> Plan {
+        if self.plain {
+            Plan::new(seed, nodes, self.seconds)
+        } else {
+            Plan::hostile(seed, nodes, self.seconds)
+        }
+    }
+}
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let mut with_findings = 0;
     for seed in arguments.from..arguments.from + arguments.seeds {
         let nodes = arguments.nodes.unwrap_or_else(|| default_nodes(seed));
-        match run_seed(&arguments, Plan::new(seed, nodes, arguments.seconds)).await {
+        match run_seed(&arguments, arguments.plan(seed, nodes)).await {
             Ok(report) => with_findings += usize::from(!report.findings.is_empty()),
             Err(error) => {
                 eprintln!("seed {seed}: {error}");
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -3,9 +3,10 @@
 use crate::endpoint_list::Endpoint;
 use crate::plan::Plan;
 use crate::readiness::is_ready;
-use crate::record::{BackendUpdate, Deferral, Exit, Incarnation, Kill, Process, Recorder};
+use crate::record::{BackendUpdate, Deferral, Exit, ExitKind, Incarnation, Kill, Process, Recorder};
 use crate::wire;
 use nix::sys::signal::{Signal, kill};
+use nix::sys::stat::Mode;
 use nix::unistd::Pid;
 use std::fs::OpenOptions;
 use std::io;
@@ -45,6 +46,30 @@
     Stopping(Incarnation, Instant),
 }
 
+fn exit_kind(status: ExitStatus) -> ExitKind {
+    let was_sent = |signal: Signal| status.signal() == Some(signal as i32);
+    if status.success() || was_sent(Signal::SIGKILL) {
+        ExitKind::Expected
+    } else if was_sent(Signal::SIGTERM) {
+        ExitKind::Terminated
+    } else {
+        ExitKind::Failed
+    }
+}
+
+/// A configuration that a process cannot use.
+#[derive(Debug, Clone, Copy)]
+pub enum UnusableConfig {
+    /// There is no file.
+    Missing,
+    /// There is a directory in its place.
+    Directory,
+    /// A named pipe that nobody writes to: reading it does not end.
+    UnreadPipe,
+    /// A file with this text.
+    Text(&'static str),
+}
+
 /// What discovery's agent of a node serves.
 struct AgentState {
     /// The version of the list.
@@ -166,6 +191,9 @@
         // Renamed into place: a process that reads it finds the old file or the new one.
         let new = self.config.with_extension("new");
         std::fs::write(&new, text)?;
+        if self.config.is_dir() {
+            std::fs::remove_dir(&self.config)?;
+        }
         std::fs::rename(new, &self.config)
     }
 
@@ -209,6 +237,7 @@
         };
         let process = Process {
             started_at: now,
+            was_ready: false,
             terminated_at: None,
             kill: None,
             exit: None,
@@ -221,9 +250,7 @@
     /// Records the end of a process.
     async fn wait_for_exit(self: Arc<Self>, mut child: Child, incarnation: Incarnation) {
         let status = child.wait().await;
-        let was_killed = |status: &ExitStatus| status.signal() == Some(Signal::SIGKILL as i32);
-        let is_expected = status.is_ok_and(|status| status.success() || was_killed(&status));
-        let exit = Exit { at: Instant::now(), is_expected };
+        let exit = Exit { at: Instant::now(), how: status.map_or(ExitKind::Failed, exit_kind) };
         self.recorder.update_process(incarnation, |process| process.exit = Some(exit));
         self.availability.send_replace(Availability::Unavailable);
         self.running.send_modify(|running| running.id = None);
@@ -239,6 +266,7 @@
         if timeout(READY_TIMEOUT, ready).await.is_err() {
             return;
         }
+        self.recorder.update_process(incarnation, |process| process.was_ready = true);
         let is_stopping = self.recorder.with(|records| {
             records.processes.get(&incarnation).is_none_or(|process| process.terminated_at.is_some())
         });
@@ -336,6 +364,31 @@
         Ok(())
     }
 
+    /// Replaces the configuration by one that cannot be used, without a reload.
+    ///
+    /// # Errors
+    /// It cannot be replaced.
+    pub fn replace_config(&self, config: UnusableConfig) -> io::Result<()> {
+        self.remove_config()?;
+        match config {
+            UnusableConfig::Missing => Ok(()),
+            UnusableConfig::Directory => std::fs::create_dir(&self.config),
+            UnusableConfig::UnreadPipe => Ok(nix::unistd::mkfifo(&self.config, Mode::S_IRWXU)?),
+            UnusableConfig::Text(text) => std::fs::write(&self.config, text),
+        }
+    }
+
+    /// Removes the configuration, whatever it is.
+    fn remove_config(&self) -> io::Result<()> {
+        if self.config.is_dir() {
+            return std::fs::remove_dir(&self.config);
+        }
+        match std::fs::remove_file(&self.config) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     /// Writes the valid configuration again, without a reload.
     ///
     /// # Errors
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -16,6 +16,11 @@
 const FAULT_INTERVAL: f64 = 3.0;
 /// The least number of faults.
 const MIN_FAULTS: usize = 4;
+/// Of the plans with hostile clients and signals, one in so many has crowds.
+const CROWD_INTERVAL: u64 = 3;
+/// Seconds for each series of signals, and for each crowd, of one such plan; there is one at least.
+const SERIES_INTERVAL: f64 = 2.0;
+const CROWD_SECONDS: f64 = 4.0;
 /// The least number of backends. Larger fleets may have one more for each [`NODES_PER_BACKEND`] nodes.
 const MIN_BACKENDS: usize = 4;
 const NODES_PER_BACKEND: usize = 4;
@@ -58,11 +63,15 @@
     ProcessingDelay,
     /// The wall clock of a node is stepped.
     ClockStep,
+    /// Several signals in quick succession, with configurations that are invalid or cannot be read, and a shutdown among them.
+    SignalSeries,
+    /// More connections than a node has descriptors: idle, in the middle of a head, or with bytes as they are closed.
+    Crowd,
 }
 
 impl FaultKind {
-    /// All kinds.
-    pub const ALL: [Self; 17] = [
+    /// The kinds that are drawn for every plan.
+    const ALL: [Self; 17] = [
         Self::Restart,
         Self::Crash,
         Self::Pause,
@@ -123,6 +132,8 @@
             Self::ShortTransfers => "short_transfers",
             Self::ProcessingDelay => "held_up",
             Self::ClockStep => "clock_step",
+            Self::SignalSeries => "signal_series",
+            Self::Crowd => "crowd",
         }
     }
 }
@@ -143,6 +154,10 @@
 impl PlannedFault {
     fn draw(rng: &mut fastrand::Rng, seconds: f64) -> Self {
         let kind = FaultKind::draw(rng);
+        Self::draw_of_kind(kind, rng, seconds)
+    }
+
+    fn draw_of_kind(kind: FaultKind, rng: &mut fastrand::Rng, seconds: f64) -> Self {
         let at = Duration::from_secs_f64(FAULT_FREE + rng.f64() * (seconds - FAULT_FREE).max(0.1));
         let (shortest, added) = FAULT_DURATION;
         let duration = Duration::from_secs_f64(shortest + added * rng.f64() * rng.f64());
@@ -167,6 +182,8 @@
     pub deadline: f64,
     /// The faults, in the order of their begin.
     pub faults: Vec<PlannedFault>,
+    /// Some clients send on one connection without a pause until it ends, whatever the gateway says.
+    pub persistent_clients: bool,
 }
 
 impl Plan {
@@ -188,7 +205,22 @@
             duration: Duration::from_secs_f64(seconds),
             deadline,
             faults,
+            persistent_clients: false,
+        }
+    }
+
+    /// The same with series of signals, with clients that use their connections until the kill, and with crowds in some plans.
+    pub fn hostile(seed: u64, nodes: usize, seconds: f64) -> Self {
+        let mut plan = Self::new(seed, nodes, seconds);
+        let mut rng = fastrand::Rng::with_seed(!seed);
+        let count = |interval: f64| ((seconds / interval) as usize).max(1);
+        let crowds = if seed.is_multiple_of(CROWD_INTERVAL) { count(CROWD_SECONDS) } else { 0 };
+        for (kind, count) in [(FaultKind::SignalSeries, count(SERIES_INTERVAL)), (FaultKind::Crowd, crowds)] {
+            plan.faults.extend((0..count).map(|_| PlannedFault::draw_of_kind(kind, &mut rng, seconds)));
         }
+        plan.faults.sort_by_key(|fault| fault.at);
+        plan.persistent_clients = true;
+        plan
     }
 
     /// From SIGTERM to the earliest SIGKILL of the platform.
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -120,13 +120,24 @@
     pub is_crash: bool,
 }
 
+/// How a process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitKind {
+    /// With status 0, or by SIGKILL.
+    Expected,
+    /// By SIGTERM itself: it had not begun to watch for it.
+    Terminated,
+    /// In any other way.
+    Failed,
+}
+
 /// The end of a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Exit {
     /// When it was observed.
     pub at: Instant,
-    /// Whether the process exited with status 0 or by SIGKILL.
-    pub is_expected: bool,
+    /// How it ended.
+    pub how: ExitKind,
 }
 
 /// A span in which updates may reach a node late: those within it count as notified at its end.
@@ -143,6 +154,8 @@
 pub struct Process {
     /// When it was started.
     pub started_at: Instant,
+    /// It answered the readiness check.
+    pub was_ready: bool,
     /// When it was sent SIGTERM.
     pub terminated_at: Option<Instant>,
     /// The SIGKILL that it was sent.
--- a/crates/soak/src/wire.rs
+++ b/crates/soak/src/wire.rs
@@ -27,9 +27,10 @@
 
 /// Seconds of a request's deadline to microseconds.
 const MICROS: f64 = 1e6;
-/// The ids of customers with a ceiling begin here; other ids are below [`OTHER_CUSTOMERS`].
+/// The ids of customers with a ceiling begin here; other ids are lower.
 const FIRST_LIMITED_ID: u64 = 0xca00;
-const OTHER_CUSTOMERS: u64 = 200;
+/// How many other customers a node serves.
+const OTHER_CUSTOMERS: usize = 200;
 /// The most nodes that a customer's requests are spread over.
 const MAX_SPREAD: usize = 8;
 
@@ -49,21 +50,27 @@
 }
 
 impl Draft {
-    /// A request of a customer with a ceiling, or of any other.
+    /// A request to `node`: of the customer with a ceiling that is named, if that node serves it, or of any other that it
+    /// serves. A customer's requests reach only the nodes of its set.
     pub fn new(
         plan: &Plan,
+        node: usize,
         id: String,
         class: Class,
         limited_customer: Option<usize>,
         time_budget: f64,
         rng: &mut fastrand::Rng,
     ) -> Self {
+        let spread = plan.nodes.min(MAX_SPREAD);
+        let first_node = |customer: u64| customer as usize % plan.nodes;
+        let serves = |customer: u64| (node + plan.nodes - first_node(customer)) % plan.nodes < spread;
+        let limited_id = |number: usize| FIRST_LIMITED_ID + number as u64;
+        let limited_customer = limited_customer.filter(|number| serves(limited_id(*number)));
         let (plan_name, customer) = match limited_customer {
-            Some(number) => ("capped", FIRST_LIMITED_ID + number as u64),
-            None => ("wide", rng.u64(0..OTHER_CUSTOMERS)),
+            Some(number) => ("capped", limited_id(number)),
+            None => ("wide", draw_customer(plan.nodes, spread, node, rng)),
         };
-        let spread = plan.nodes.min(MAX_SPREAD);
-        let first = customer as usize % plan.nodes;
+        let first = first_node(customer);
         let is_idempotent = class == Class::Idempotent;
         let method = if is_idempotent { "GET" } else { "POST" };
         let body = if is_idempotent { String::new() } else { "b".repeat(rng.usize(1..300)) };
@@ -79,6 +86,13 @@
     }
 }
 
+/// A customer without a ceiling that `node` serves.
+fn draw_customer(nodes: usize, spread: usize, node: usize, rng: &mut fastrand::Rng) -> u64 {
+    let drawn = rng.usize(0..OTHER_CUSTOMERS);
+    let first = (node + nodes - drawn % spread) % nodes;
+    (first + nodes * (drawn / spread)) as u64
+}
+
 /// A complete response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Response {
