policy: a slow-start token that came due expires, so that no fleet saves them in a trough

Cause: a gateway whose part of the budget is small holds one token, and one that came due stayed until it was used. In a trough nobody uses them; as it ends, hundreds are spent within a second.

Why this works: a token expires after overload_seconds, so what all hold at one moment came due within that time: 0.4 N in the mean, whatever the traffic did before. Larger parts keep their bucket of half of that time's refill.

--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -48,6 +48,17 @@
         + (1.0 - settings.slow_start_min_capacity) * (age / settings.slow_start_seconds).max(0.0)
 }
 
+/// The level of a bucket for single units that was refilled without a bound: one unit at most, which
+/// expires `lifetime` seconds after it came due. Guards against units that all gateways save while their
+/// traffic is low and spend together as it rises.
+fn unexpired_level(level: f64, rate: f64, lifetime: f64) -> f64 {
+    if level < 1.0 {
+        return level;
+    }
+    let since_due = level.fract() / rate;
+    level.fract() + if since_due <= lifetime { 1.0 } else { 0.0 }
+}
+
 impl Gateway {
     /// Units that the backend with this index may be sent now; infinity for one that is warmed up.
     /// `candidates` is the number of backends that this gateway's load is spread over.
@@ -64,10 +75,12 @@
         }
         let rate =
             warm_up_fraction(settings, age) * settings.overload_multiple * SLOW_START_FRACTION * mean_rate;
-        backend.slow_start.refill(
-            self.now,
-            rate,
-            (rate * settings.overload_seconds * SLOW_START_BURST_FRACTION).max(1.0),
-        )
+        let burst = rate * settings.overload_seconds * SLOW_START_BURST_FRACTION;
+        if burst > 1.0 {
+            return backend.slow_start.refill(self.now, rate, burst);
+        }
+        let level = backend.slow_start.refill(self.now, rate, f64::INFINITY);
+        backend.slow_start.level = unexpired_level(level, rate, settings.overload_seconds);
+        backend.slow_start.level
     }
 }
--- a/tests/decisions/slow_start.rs
+++ b/tests/decisions/slow_start.rs
@@ -206,3 +206,18 @@
     ];
     assert_no_excess(&[1, 4, 20, 30, 300], &changes, allowed);
 }
+
+/// Guards against units that all gateways save in a trough of their traffic and spend together as it ends.
+#[test]
+fn the_slow_start_of_a_backend_holds_as_three_quarters_of_the_list_go() {
+    let change = |rate, swing| ListChange { rate, swing, remaining: 3, restarted: 1 };
+    let changes: Vec<_> =
+        [1.0, 5.0, 10.0, 40.0].into_iter().flat_map(|rate| [change(rate, 0.0), change(rate, 0.9)]).collect();
+    assert_no_excess(&[1, 30, 300, 900], &changes, allowed);
+    for rate in [5.0, 10.0] {
+        for seed in 100..160 {
+            let excess = excess_in_slow_start(300, change(rate, 0.9), allowed, seed);
+            assert!(excess <= 0.0, "{excess} too many: rate {rate}, seed {seed}");
+        }
+    }
+}
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -79,6 +79,7 @@
   "accept-stopping|crates/core/src/guard.rs|Some(shutdown) => Ok(deadline.min(shutdown.respond_by())),|Some(_) => Ok(deadline),|test:weirusher-cli"
   "accept-late|crates/core/src/guard.rs|if now + MIN_ACCEPT_TIME > shutdown.respond_by() => Err(Reason::Stopping),|if now > shutdown.respond_by() + 1e6 => Err(Reason::Stopping),|test:weirusher-cli"
   "deadline-told|crates/core/src/guard.rs|timeout: attempt_deadline.min(request_deadline) - now,|timeout: attempt_deadline - now + 0.3,|test:weirusher-cli"
+  "saved-tokens|src/policy/slow_start.rs|if since_due <= lifetime { 1.0 } else { 0.0 }|if since_due <= 1e9 * lifetime { 1.0 } else { 0.0 }|test:weirusher"
   "shrunken-list|src/policy/slow_start.rs| * self.load.running_fraction(self.now, running)||test:weirusher"
   "subset-places|src/policy/subset.rs|(f64::from(gateway) * GOLDEN_RATIO_FRACTION).fract()|(f64::from(gateway) * 0.3).fract()|test:weirusher"
   "subset-bound|src/policy/tuning.rs|const MAX_SUBSET_SIZE: usize = 32;|const MAX_SUBSET_SIZE: usize = 3200;|test:weirusher"
