--- a/crates/cli/tests/kept_list.rs
+++ b/crates/cli/tests/kept_list.rs
@@ -270,3 +270,24 @@
         tokio::time::timeout(Duration::from_secs(5), ended(&mut gateway.0)).await.expect("in time").success()
     );
 }
+
+/// Guards against a shutdown that waits for the disk.
+#[tokio::test]
+async fn a_sync_that_hangs_delays_no_shutdown() {
+    let site = Site::new().await;
+    let hangs = site.shim.inject(Fault::new(Call::Sync, Action::Delay(Duration::from_secs(10))));
+    let mut gateway = site.start(true);
+    assert!(announced(&mut gateway));
+    let syncing = async {
+        while site.shim.injected(hangs) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, syncing).await.expect("the list is stored");
+    let id = nix::unistd::Pid::from_raw(gateway.0.id() as i32);
+    nix::sys::signal::kill(id, nix::sys::signal::Signal::SIGTERM).unwrap();
+    assert!(
+        tokio::time::timeout(Duration::from_secs(5), ended(&mut gateway.0)).await.expect("in time").success()
+    );
+    assert_eq!(site.stored(), OLD, "the old list is complete");
+}
