--- a/review/standins.py
+++ b/review/standins.py
@@ -173,6 +173,35 @@
             writer.close()
 
 
+class Delay:
+    """A network between the gateway and a worker: each direction takes `seconds`."""
+
+    def __init__(self, port, seconds):
+        self.to, self.seconds = port, seconds
+
+    async def start(self):
+        self.server, self.port = await listen(self.serve)
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.to)
+        except OSError:
+            return reset(writer)
+        loop = asyncio.get_running_loop()
+        for end in (writer, far_writer):
+            end.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+        async def carry(source, target):
+            try:
+                while data := await source.read(65536):
+                    loop.call_later(self.seconds, target.write, data)
+            except (ConnectionError, OSError):
+                pass
+            loop.call_later(self.seconds, target.close)
+
+        await asyncio.gather(carry(reader, far_writer), carry(far_reader, writer))
+
+
 def settings(**change):
     """The settings of a small deployment, after the example of the wire's page."""
     value = {
