--- a/review/standins.py
+++ b/review/standins.py
@@ -14,9 +14,11 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 START = time.monotonic()
+BROKEN = 10  # run.sh makes it 1; a failed start of Python must not pass for a broken rule.
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -325,13 +327,16 @@
 
 
 def main(case, play, limit=110):
-    """Plays a case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Plays a case. Exits with BROKEN if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(case)
     gateways = []
 
     async def run():
         # A connection's task that is cancelled at the end of a case is no error.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         with tempfile.TemporaryDirectory() as folder:
             try:
                 return await asyncio.wait_for(play(record, folder, gateways), limit)
@@ -347,12 +352,11 @@
     except CannotRun as error:
         record.say(f"could not run: {error}")
         os._exit(2)
-    except Exception as error:
-        import traceback
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"could not run: {error!r}")
         record.add(traceback.format_exc())
         os._exit(2)
     record.say("RULE BROKEN" if broken else "rule held")
     record.file.close()
     sys.stdout.flush()
-    os._exit(1 if broken else 0)
+    os._exit(BROKEN if broken else 0)
