--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,4 +13,4 @@
 pub use listen::{Listener, bind};
 pub use stream::Stream;
 pub use tcp_info::since_last_received;
-pub use transfer::{read, write, write_all};
+pub use transfer::{read, read_chunk, write, write_all};
--- a/crates/net/src/transfer.rs
+++ b/crates/net/src/transfer.rs
@@ -3,34 +3,75 @@
 //! Tokio's own I/O takes a short transfer as a sign that the socket is drained or full, and waits for the next
 //! readiness notification of the system. If the transfer was short for another reason, that notification never arrives.
 
-use bytes::{Buf, BytesMut};
+use bytes::Buf;
 use std::io::{self, ErrorKind, IoSlice};
 use std::task::{Context, Poll, ready};
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use weirusher_buffers::ReadBuffer;
 
-/// Maximum number of slices in a vectored write: a head and a body.
-const MAX_SLICES: usize = 2;
+/// Maximum number of slices in a vectored write: a head in two parts and several blocks of a body.
+const MAX_SLICES: usize = 16;
+/// Maximum number of bytes that [`read_chunk`] reads at once.
+const READ_CHUNK_BYTES: usize = 16 * 1024;
 
 /// Whether a failed call must be repeated: it would have blocked, or it was interrupted.
 fn is_transient(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-/// Reads the bytes that have arrived, waiting until there are some. `Ok(0)` means that the peer has closed its side.
+/// Reads the bytes that have arrived into `buffer`, waiting until there are some. `Ok(0)` means that the peer has closed
+/// its side.
+///
+/// # Errors
+/// The connection failed, or the buffer is full and cannot grow (`OutOfMemory`).
+pub async fn read(stream: &TcpStream, buffer: &mut ReadBuffer) -> io::Result<usize> {
+    if buffer.is_full() {
+        buffer.grow().map_err(|exhausted| io::Error::new(ErrorKind::OutOfMemory, exhausted))?;
+    }
+    loop {
+        stream.readable().await?;
+        match stream.try_read(buffer.space()) {
+            Ok(count) => {
+                buffer.add(count);
+                return Ok(count);
+            }
+            Err(error) if is_transient(&error) => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Reads up to `limit` bytes that have arrived, waiting until there are some, and passes them to `receive`, whose result
+/// is returned. No bytes mean that the peer has closed its side. Until bytes have arrived, no memory is used for them.
 ///
 /// # Errors
 /// The connection failed.
-pub async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+pub async fn read_chunk<T>(
+    stream: &TcpStream,
+    limit: usize,
+    mut receive: impl FnMut(&[u8]) -> T,
+) -> io::Result<T> {
     loop {
         stream.readable().await?;
-        match stream.try_read_buf(buffer) {
+        match try_read_chunk(stream, limit, &mut receive) {
             Err(error) if is_transient(&error) => {}
             read => return read,
         }
     }
 }
 
+/// [`read_chunk`] without waiting. The chunk is on the stack of this function, not in the state of a task.
+fn try_read_chunk<T>(
+    stream: &TcpStream,
+    limit: usize,
+    receive: &mut impl FnMut(&[u8]) -> T,
+) -> io::Result<T> {
+    let mut chunk = [0; READ_CHUNK_BYTES];
+    let count = stream.try_read(&mut chunk[..limit.min(READ_CHUNK_BYTES)])?;
+    Ok(receive(&chunk[..count]))
+}
+
 /// Writes some of the bytes, and advances `bytes` past them.
 ///
 /// # Errors
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,23 +1,25 @@
 //! One attempt of a request: acquires a connection to the backend, writes the request and reads the response.
 
 use crate::backend_connection::{BackendConnection, timeout_duration};
-use crate::byte_budget::BytePermit;
-use crate::context::{BackendEndpoint, CompleteResponse, NodeContext};
+use crate::context::{BackendEndpoint, NodeContext};
 use crate::events::AttemptResult;
 use crate::log::log_step;
-use bytes::{Buf, BytesMut};
+use crate::receive::receive;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use weirusher::{RequestId, Status};
+use weirusher_buffers::{Growth, ReadBuffer};
 use weirusher_core::{SendError, SendLimits};
 use weirusher_panics::Panicked;
 use weirusher_platform::backend::{ForwardedRequest, MAX_RESPONSE_BYTES, attempt_status, parse_load_report};
 use weirusher_platform::response::{Response, ResponseReader};
+use weirusher_wire::http1::MAX_HEAD_BYTES;
 
-/// Initial capacity of the buffer, in bytes: enough for a head and a short body.
-const BUFFER_CAPACITY: usize = 2048;
+/// Sizes of the read buffer: at first enough for a head and a short body; a head that is too long is noticed before
+/// the buffer is full.
+const BUFFER_GROWTH: Growth = Growth { initial: 2048, max: MAX_HEAD_BYTES + 2048 };
 /// Longest wait for the next bytes of a response that has started. Backends write their short responses at
 /// once; a response that stalls is abandoned early, while there is still time for another attempt.
 const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_millis(150);
@@ -84,44 +86,35 @@
             }
         };
         let stream = connection.stream().ok_or(Status::NotSent)?;
-        let mut buffer = BytesMut::with_capacity(BUFFER_CAPACITY);
-        self.write_request(stream, &mut buffer, &limits).await?;
-        let mut permit = node.response_bodies.permit();
+        self.write_request(stream, &limits).await?;
         weirusher_panics::fault_point("attempt sent");
+        let mut buffer = ReadBuffer::new(BUFFER_GROWTH, node.memory.responses.clone());
+        let mut reader = ResponseReader::new(MAX_RESPONSE_BYTES, node.memory.responses.clone());
         // Without a complete response the request may have been executed.
-        let response = read_response(stream, &mut buffer, &mut permit).await.ok_or(Status::Reset)?;
+        let response = read_response(stream, &mut buffer, &mut reader).await.ok_or(Status::Reset)?;
         if !response.closes_connection && buffer.is_empty() {
             connection.return_to_pool(endpoint);
         }
         Ok(AttemptResult {
             status: attempt_status(&response),
             load: response.load_report.as_deref().map(parse_load_report).unwrap_or_default(),
-            response: Some(CompleteResponse { body: response.body, _permit: permit }),
+            response: Some(response.body),
         })
     }
 
-    /// Writes the request, using `buffer` for its head. The buffer must be empty; it is empty again if the
-    /// call succeeds.
+    /// Writes the request.
     ///
     /// # Errors
     /// The connection failed, or the last byte was not written in time. The backend has an incomplete
     /// request, which it does not execute.
-    async fn write_request(
-        &self,
-        stream: &TcpStream,
-        buffer: &mut BytesMut,
-        limits: &SendLimits,
-    ) -> Result<(), Status> {
-        self.forwarded.write_head(buffer, limits.timeout);
+    async fn write_request(&self, stream: &TcpStream, limits: &SendLimits) -> Result<(), Status> {
         self.write_started.set(true);
-        let written = weirusher_net::write_all(stream, Buf::chain(&buffer[..], self.forwarded.body()));
+        let written = weirusher_net::write_all(stream, self.forwarded.message(limits.timeout));
         match tokio::time::timeout(timeout_duration(limits.write_timeout), written).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => return Err(Status::ConnectFailed),
-            Err(_) => return Err(Status::NotSent),
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Status::ConnectFailed),
+            Err(_) => Err(Status::NotSent),
         }
-        buffer.clear();
-        Ok(())
     }
 }
 
@@ -129,27 +122,22 @@
 /// the response, or if the response is malformed or exceeds the byte budget.
 async fn read_response(
     stream: &TcpStream,
-    buffer: &mut BytesMut,
-    permit: &mut BytePermit,
+    buffer: &mut ReadBuffer,
+    reader: &mut ResponseReader,
 ) -> Option<Response> {
-    let mut reader = ResponseReader::new(MAX_RESPONSE_BYTES);
     loop {
-        let bytes = weirusher_net::read(stream, buffer);
-        let read = if reader.has_started() {
+        let has_started = reader.has_started();
+        let bytes = receive(stream, buffer, reader);
+        let read = if has_started {
             tokio::time::timeout(RESPONSE_STALL_TIMEOUT, bytes).await.ok()?
         } else {
             bytes.await
         };
         // Only an orderly close ends a response without a length; a reset is a read error.
-        if read.ok()? == 0 {
+        if read.ok()?.ok()? == 0 {
             return reader.finish();
         }
         let response = reader.read(buffer).ok()?;
-        let body_bytes =
-            response.as_ref().map_or(buffer.len() + reader.buffered(), |response| response.body.len());
-        if !permit.try_grow_to(body_bytes) {
-            return None;
-        }
         if response.is_some() {
             return response;
         }
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -10,9 +10,10 @@
 const SPARE_FRACTION: f64 = 0.1;
 /// Fraction of the usable descriptors for connections to backends; the rest is for clients.
 const BACKEND_FRACTION: f64 = 0.4;
-/// Fraction of the memory limit for the bodies of all requests, and the same again for the bodies of all
-/// responses.
-const BODY_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit for all requests, and the same again for all responses.
+const MESSAGE_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit for the endpoint lists that are being received. A list is copied once to be parsed.
+const LIST_FRACTION: f64 = 0.15;
 /// Bytes in a megabyte, as the platform defines it.
 const MEGABYTE: f64 = 1e6;
 
@@ -23,8 +24,10 @@
     pub client_connections: usize,
     /// Maximum number of backend connections.
     pub backend_connections: usize,
-    /// Maximum total bytes of all request bodies, and likewise of all response bodies.
-    pub body_bytes: usize,
+    /// Maximum total bytes of all requests, and likewise of all responses.
+    pub message_bytes: usize,
+    /// Maximum total bytes of the endpoint lists that are being received.
+    pub list_bytes: usize,
 }
 
 impl ResourceBudget {
@@ -33,7 +36,8 @@
         let usable = limits.sockets.saturating_sub(RESERVED_SOCKETS) as f64 * (1.0 - SPARE_FRACTION);
         let backend_connections = ((usable * BACKEND_FRACTION) as usize).max(1);
         let client_connections = (usable as usize).saturating_sub(backend_connections).max(1);
-        let body_bytes = (limits.memory_mb * MEGABYTE * BODY_FRACTION) as usize;
-        Self { client_connections, backend_connections, body_bytes }
+        let share = |fraction: f64| (limits.memory_mb * MEGABYTE * fraction) as usize;
+        let (message_bytes, list_bytes) = (share(MESSAGE_FRACTION), share(LIST_FRACTION));
+        Self { client_connections, backend_connections, message_bytes, list_bytes }
     }
 }
--- a/crates/node/src/client_socket.rs
+++ b/crates/node/src/client_socket.rs
@@ -1,6 +1,6 @@
 //! The socket of a client, shared by the task of its connection and the attempts of its request.
 
-use bytes::{Buf, BytesMut};
+use bytes::Buf;
 use socket2::SockRef;
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
@@ -9,13 +9,10 @@
 use std::time::Duration;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
+use weirusher_buffers::ReadBuffer;
 use weirusher_net::since_last_received;
-
-/// Maximum number of bytes that are read ahead while a request is pending; the rest stays in the socket's
-/// buffer.
-const MAX_READ_AHEAD: usize = 16 * 1024;
-/// Size of the buffer for one read-ahead call, in bytes.
-const READ_AHEAD_CHUNK: usize = 1024;
+use weirusher_wire::body::BodyReader;
+use weirusher_wire::http1::HttpError;
 
 /// The socket of a connected client.
 #[derive(Debug, Clone)]
@@ -28,27 +25,39 @@
     }
 
     /// Reads received bytes into `buffer`. `Ok(0)` means that the client has closed its side.
-    pub async fn read(&self, buffer: &mut BytesMut) -> io::Result<usize> {
+    pub async fn read(&self, buffer: &mut ReadBuffer) -> io::Result<usize> {
         weirusher_net::read(&self.0, buffer).await
     }
 
+    /// Reads received bytes that belong to a body. `Ok(Ok(0))` means that the client has closed its side.
+    pub async fn read_body(&self, body: &mut BodyReader) -> io::Result<Result<usize, HttpError>> {
+        let expected = body.expected();
+        let append = |bytes: &[u8]| body.append(bytes).map(|()| bytes.len());
+        weirusher_net::read_chunk(&self.0, expected, append).await
+    }
+
+    /// Reads and discards up to `limit` received bytes. `Ok(0)` means that the client has closed its side.
+    pub async fn discard(&self, limit: usize) -> io::Result<usize> {
+        weirusher_net::read_chunk(&self.0, limit, <[u8]>::len).await
+    }
+
     /// How long ago the last bytes were received. This time counts towards the client's time budget.
     pub fn time_since_received(&self) -> Duration {
         since_last_received(&*self.0).unwrap_or_default()
     }
 
-    /// Reads until `buffer` holds [`MAX_READ_AHEAD`] bytes. `WouldBlock` means that no more bytes were
-    /// received and the client has not closed.
+    /// Reads until `buffer` is full and cannot grow. `WouldBlock` means that no more bytes were received and the
+    /// client has not closed.
     ///
     /// The socket is read directly. After a short read, the runtime does not read again before the next
     /// notification from the system, and there may be none for a client that closed before its connection was
     /// accepted.
-    fn try_read_ahead(&self, buffer: &mut BytesMut) -> io::Result<()> {
-        let (socket, mut chunk) = (SockRef::from(&*self.0), [0; READ_AHEAD_CHUNK]);
-        while buffer.len() < MAX_READ_AHEAD {
-            match (&*socket).read(&mut chunk) {
+    fn try_read_ahead(&self, buffer: &mut ReadBuffer) -> io::Result<()> {
+        let socket = SockRef::from(&*self.0);
+        while has_space(buffer) {
+            match (&*socket).read(buffer.space()) {
                 Ok(0) => return Err(io::ErrorKind::ConnectionAborted.into()),
-                Ok(count) => buffer.extend_from_slice(&chunk[..count]),
+                Ok(count) => buffer.add(count),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
@@ -56,20 +65,20 @@
         Ok(())
     }
 
-    /// Reads ahead the received bytes, up to [`MAX_READ_AHEAD`].
+    /// Reads ahead the received bytes, as far as `buffer` may grow.
     ///
     /// # Errors
     /// The client has closed or reset the connection.
-    pub fn read_ahead(&self, buffer: &mut BytesMut) -> io::Result<()> {
+    pub fn read_ahead(&self, buffer: &mut ReadBuffer) -> io::Result<()> {
         ignore_would_block(self.try_read_ahead(buffer))
     }
 
     /// Waits until the client closes or resets the connection, and returns the reason. Reads ahead in the
-    /// meantime, up to [`MAX_READ_AHEAD`]; beyond that a notification from the system reveals the close even
+    /// meantime, as far as `buffer` may grow; beyond that a notification from the system reveals the close even
     /// behind unread bytes.
-    pub async fn wait_disconnected(&self, buffer: &mut BytesMut) -> io::Error {
+    pub async fn wait_disconnected(&self, buffer: &mut ReadBuffer) -> io::Error {
         loop {
-            let reads = buffer.len() < MAX_READ_AHEAD;
+            let reads = has_space(buffer);
             // With interest in urgent data only, the close is the only event that is notified.
             let interest = if reads { Interest::READABLE } else { Interest::PRIORITY };
             match self.0.ready(interest).await {
@@ -117,6 +126,11 @@
     }
 }
 
+/// Whether a byte can be added, if necessary after growing.
+fn has_space(buffer: &mut ReadBuffer) -> bool {
+    !buffer.is_full() || buffer.grow().is_ok()
+}
+
 /// Treats `WouldBlock` as success: it only means that there is nothing to read now.
 fn ignore_would_block(read: io::Result<()>) -> io::Result<()> {
     match read {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -6,27 +6,29 @@
 mod read;
 mod respond;
 
-use crate::byte_budget::BytePermit;
 use crate::client_slot::ClientSlot;
 use crate::client_socket::ClientSocket;
 use crate::close_signal::CloseSignal;
 use crate::context::{ClientResponse, NodeContext};
 use crate::log::log_step;
 use crate::metrics::CloseReason;
-use bytes::BytesMut;
+use bytes::Buf;
 use read::{ReadError, Received};
 use std::io;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use weirusher::{RequestId, Time};
+use weirusher_buffers::{Growth, ReadBuffer};
 use weirusher_core::IncomingRequest;
 use weirusher_panics::Panicked;
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::client::{ClientRequest, RequestError};
 use weirusher_wire::head::HeadSearch;
+use weirusher_wire::http1::MAX_HEAD_BYTES;
 
-/// Capacity of the read buffer of a connection that is new or idle, in bytes.
-const BUFFER_CAPACITY: usize = 1024;
+/// Sizes of the read buffer. A request whose head and body are short needs no grant of memory; a head that is too
+/// long is noticed before the buffer is full.
+const BUFFER_GROWTH: Growth = Growth { initial: 1024, max: MAX_HEAD_BYTES + 1024 };
 
 /// Withdraws a pending request if it is dropped before the request has its response, as when the client
 /// disconnects.
@@ -69,7 +71,7 @@
     slot: ClientSlot,
     socket: ClientSocket,
     close_signal: Rc<CloseSignal>,
-    buffer: BytesMut,
+    buffer: ReadBuffer,
     head_search: HeadSearch,
     /// Whether a request has been received in part.
     is_reading: bool,
@@ -85,11 +87,12 @@
     /// Wraps a connection that was accepted just now.
     pub fn new(slot: ClientSlot, socket: ClientSocket, close_signal: Rc<CloseSignal>) -> Self {
         let accepted_at = slot.node.now();
+        let buffer = ReadBuffer::new(BUFFER_GROWTH, slot.node.memory.requests.clone());
         Self {
             slot,
             socket,
             close_signal,
-            buffer: BytesMut::with_capacity(BUFFER_CAPACITY),
+            buffer,
             head_search: HeadSearch::default(),
             is_reading: false,
             progress: Progress::Waiting,
@@ -113,7 +116,8 @@
         let node = &self.slot.node;
         node.connections.closed(reason);
         if matches!(reason, CloseReason::Idle | CloseReason::NoRequest | CloseReason::Shutdown) {
-            let has_unread_request = matches!(HeadSearch::default().find_end(&self.buffer), Ok(Some(_)));
+            let has_unread_request =
+                matches!(HeadSearch::default().find_end(self.buffer.chunk()), Ok(Some(_)));
             node.handle_connection_closed(
                 usize::from(self.progress == Progress::Pending) + usize::from(has_unread_request),
             );
@@ -129,23 +133,20 @@
     async fn serve_next(&mut self) -> Result<(), CloseReason> {
         match self.read_message().await {
             Ok(Received::ReadinessCheck { close }) => self.answer_readiness_check(close).await,
-            Ok(Received::Request { request, forwarded, permit }) => {
-                self.handle_request(request, forwarded, permit).await
-            }
+            Ok(Received::Request { request, forwarded }) => self.handle_request(request, forwarded).await,
             Err(ReadError::Invalid(error)) => self.reject_invalid(error).await,
             Err(ReadError::Closed(reason)) => Err(reason),
         }
     }
 
-    /// Handles a request from its last byte to its response. `_permit` reserves the memory of its body until
-    /// then.
+    /// Handles a request from its last byte to its response.
     async fn handle_request(
         &mut self,
         request: ClientRequest,
         forwarded: ForwardedRequest,
-        _permit: BytePermit,
     ) -> Result<(), CloseReason> {
         let node = self.slot.node.clone();
+        self.buffer.shrink();
         if node.may_read() {
             self.socket.read_ahead(&mut self.buffer)?;
         }
@@ -225,9 +226,7 @@
     }
 
     fn set_idle(&mut self) {
-        if self.buffer.capacity() != BUFFER_CAPACITY {
-            self.buffer = BytesMut::with_capacity(BUFFER_CAPACITY);
-        }
+        self.buffer.shrink();
         self.slot.set_idle();
     }
 
--- a/crates/node/src/connection/read.rs
+++ b/crates/node/src/connection/read.rs
@@ -1,9 +1,9 @@
 //! Reads the messages of a client connection.
 
 use super::{Connection, Progress};
-use crate::byte_budget::BytePermit;
 use crate::metrics::CloseReason;
-use bytes::Bytes;
+use bytes::Buf;
+use weirusher_buffers::{Body, BudgetExhausted};
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::client::{
     CONTINUE, ClientMessage, ClientRequest, MAX_BODY_BYTES, RequestError, read_head,
@@ -15,7 +15,7 @@
 /// A complete message of a client.
 pub(super) enum Received {
     ReadinessCheck { close: bool },
-    Request { request: ClientRequest, forwarded: ForwardedRequest, permit: BytePermit },
+    Request { request: ClientRequest, forwarded: ForwardedRequest },
 }
 
 /// Why a message could not be read.
@@ -32,6 +32,12 @@
     }
 }
 
+impl From<BudgetExhausted> for ReadError {
+    fn from(error: BudgetExhausted) -> Self {
+        Self::Invalid(error.into())
+    }
+}
+
 impl From<HttpError> for ReadError {
     fn from(error: HttpError) -> Self {
         Self::Invalid(error.into())
@@ -42,65 +48,83 @@
     /// Reads the next message, head and body.
     pub(super) async fn read_message(&mut self) -> Result<Received, ReadError> {
         loop {
-            if let Some(end) = self.head_search.find_end(&self.buffer)? {
+            if let Some(end) = self.head_search.find_end(self.buffer.chunk())? {
                 return self.read_after_head(end).await;
             }
             if !self.buffer.is_empty() {
                 self.set_reading();
             }
-            self.read_more().await?;
+            self.read_more(None).await?;
         }
     }
 
     /// Parses the head, which ends at offset `end` of the buffer, and reads the body.
     async fn read_after_head(&mut self, end: usize) -> Result<Received, ReadError> {
-        let head = self.buffer.split_to(end);
         self.progress = Progress::HeadRead;
         weirusher_panics::fault_point("head read");
+        let message = self.parse_head(end);
+        self.buffer.advance(end);
+        match message? {
+            Received::Request { mut request, forwarded } => {
+                let forwarded = forwarded.with_body(self.read_body(&mut request).await?);
+                Ok(Received::Request { request, forwarded })
+            }
+            check => Ok(check),
+        }
+    }
+
+    /// Parses the head, which ends at offset `end` of the buffer. A request has no body yet.
+    fn parse_head(&self, end: usize) -> Result<Received, ReadError> {
         let mut slots = EMPTY_HEADERS;
-        let head = parse_request(&head, &mut slots)?;
-        let mut request = match read_head(&self.slot.node.catalog, &head)? {
+        let head = parse_request(&self.buffer.chunk()[..end], &mut slots)?;
+        match read_head(&self.slot.node.catalog, &head)? {
             ClientMessage::ReadinessCheck => {
-                return Ok(Received::ReadinessCheck { close: head.fields.closes_connection() });
+                Ok(Received::ReadinessCheck { close: head.fields.closes_connection() })
             }
-            ClientMessage::Request(request) => request,
-        };
-        let (body, permit) = self.read_body(&mut request).await?;
-        let forwarded = ForwardedRequest::new(&head, &request.id, body);
-        Ok(Received::Request { request, forwarded, permit })
+            ClientMessage::Request(request) => {
+                let budget = self.slot.node.memory.requests.clone();
+                let forwarded = ForwardedRequest::new(&head, &request.id, budget)?;
+                Ok(Received::Request { request, forwarded })
+            }
+        }
     }
 
-    async fn read_body(&mut self, request: &mut ClientRequest) -> Result<(Bytes, BytePermit), ReadError> {
-        let mut permit = self.slot.node.request_bodies.permit();
-        let mut reader = BodyReader::new(request.framing, MAX_BODY_BYTES);
+    async fn read_body(&mut self, request: &mut ClientRequest) -> Result<Body, ReadError> {
+        let budget = self.slot.node.memory.requests.clone();
+        let mut reader = BodyReader::new(request.framing, MAX_BODY_BYTES, budget);
         loop {
-            let body = reader.read(&mut self.buffer)?;
-            let bytes = body.as_ref().map_or(self.buffer.len() + reader.buffered(), Bytes::len);
-            if !permit.try_grow_to(bytes) {
-                return Err(RequestError::BodyBudgetExhausted.into());
-            }
-            if let Some(body) = body {
-                return Ok((body, permit));
+            if let Some(body) = reader.read(&mut self.buffer)? {
+                return Ok(body);
             }
             self.set_reading();
             if std::mem::take(&mut request.expects_continue) {
                 self.write(CONTINUE).await.map_err(ReadError::Closed)?;
             }
-            self.read_more().await?;
+            self.read_more(Some(&mut reader)).await?;
         }
     }
 
-    /// Waits for more bytes.
+    /// Waits for more bytes. Those that belong to the body of `reader` go to it, others to the buffer.
     ///
     /// # Errors
-    /// The connection is to be closed.
-    async fn read_more(&mut self) -> Result<(), ReadError> {
+    /// The connection is to be closed, or the memory for requests is exhausted.
+    async fn read_more(&mut self, reader: Option<&mut BodyReader>) -> Result<(), ReadError> {
         if !self.slot.node.may_read() {
             return Err(self.close_requested());
         }
+        if self.buffer.is_full() {
+            self.buffer.grow()?;
+        }
+        let (socket, buffer) = (&self.socket, &mut self.buffer);
+        let bytes = async {
+            match reader {
+                Some(body) if body.expected() > 0 => socket.read_body(body).await,
+                _ => socket.read(buffer).await.map(Ok),
+            }
+        };
         let read = tokio::select! {
             biased;
-            read = self.socket.read(&mut self.buffer) => read,
+            read = bytes => read,
             () = self.close_signal.requested() => {
                 // Bytes that have just arrived are served, because the client sent them before it could see
                 // the close.
@@ -110,7 +134,8 @@
             }
         };
         match read {
-            Ok(1..) => Ok(()),
+            Ok(Ok(1..)) => Ok(()),
+            Ok(Err(error)) => Err(error.into()),
             _ => Err(ReadError::Closed(CloseReason::ClientClosed)),
         }
     }
--- a/crates/node/src/connection/respond.rs
+++ b/crates/node/src/connection/respond.rs
@@ -1,12 +1,13 @@
 //! Writes responses to a client, and closes the connection after the last one.
 
 use super::{Connection, Progress};
-use crate::context::{ClientResponse, CompleteResponse};
+use crate::context::ClientResponse;
 use crate::log::log_step;
 use crate::metrics::CloseReason;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BytesMut};
 use std::time::Duration;
 use weirusher::Reason;
+use weirusher_buffers::Body;
 use weirusher_core::Outcome;
 use weirusher_platform::client::{
     RequestError, write_error, write_failed, write_readiness, write_rejected, write_served, write_unavailable,
@@ -42,21 +43,21 @@
     ) -> Result<(), CloseReason> {
         let mut head = BytesMut::with_capacity(HEAD_CAPACITY);
         let body = match response {
-            ClientResponse::Served(CompleteResponse { body, .. }) => {
+            ClientResponse::Served(body) => {
                 write_served(&mut head, body.len(), close);
                 body
             }
             ClientResponse::Outcome(Outcome::Rejected { reason: Reason::Stopping, .. }) => {
                 write_unavailable(&mut head, close);
-                Bytes::new()
+                Body::default()
             }
             ClientResponse::Outcome(Outcome::Rejected { retry_after, .. }) => {
                 write_rejected(&mut head, retry_after, close);
-                Bytes::new()
+                Body::default()
             }
             ClientResponse::Outcome(Outcome::Failed { .. }) => {
                 write_failed(&mut head, close);
-                Bytes::new()
+                Body::default()
             }
         };
         self.respond(head.chain(body)).await
@@ -101,6 +102,7 @@
     /// Answers an invalid request with an error and closes the connection.
     pub(super) async fn reject_invalid(&mut self, error: RequestError) -> Result<(), CloseReason> {
         log_step!(self.slot.node, %error, connection = self.slot.id, "request invalid");
+        self.buffer.reset(); // The rest of the request is of no use, and others may need the memory.
         let mut head = BytesMut::new();
         write_error(&mut head, error);
         self.respond(head).await?;
@@ -120,15 +122,15 @@
     /// Closes the connection after an error. The rest of the invalid request is read and discarded, up to
     /// [`MAX_DISCARDED_BYTES`].
     async fn lingering_close_discarding(&mut self) {
+        self.buffer.reset();
         if self.socket.shutdown_write().is_err() {
             return;
         }
         let discard = async {
             let mut remaining = MAX_DISCARDED_BYTES;
             while remaining > 0 {
-                self.buffer.clear();
-                match self.socket.read(&mut self.buffer).await {
-                    Ok(count @ 1..) => remaining = remaining.saturating_sub(count),
+                match self.socket.discard(remaining).await {
+                    Ok(count @ 1..) => remaining -= count,
                     _ => break,
                 }
             }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -3,13 +3,12 @@
 //! All tasks run on one thread. A borrow of [`NodeState`] is never held across an await.
 
 use crate::budget::ResourceBudget;
-use crate::byte_budget::{ByteBudget, BytePermit};
 use crate::client_socket::ClientSocket;
 use crate::close_signal::CloseSignal;
+use crate::memory::MemoryBudgets;
 use crate::metrics::ConnectionMetrics;
 use crate::panics::{Failure, SharedState};
 use crate::wakeup::Wakeup;
-use bytes::Bytes;
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -18,6 +17,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use weirusher::{BackendId, RequestId};
+use weirusher_buffers::Body;
 use weirusher_clock::Clock;
 use weirusher_core::{
     ConnectionPool, ConnectionSlots, EngineError, Outcome, ProxyCore, ProxyOutput, SendError, SendLimits,
@@ -38,19 +38,11 @@
     pub address: SocketAddr,
 }
 
-/// The body of a backend's complete response.
-#[derive(Debug)]
-pub struct CompleteResponse {
-    pub body: Bytes,
-    /// Reserves the memory of the body until it is written to the client.
-    pub _permit: BytePermit,
-}
-
 /// The response to a client.
 #[derive(Debug)]
 pub enum ClientResponse {
-    /// A backend's response.
-    Served(CompleteResponse),
+    /// The body of a backend's response.
+    Served(Body),
     /// The gateway's own response, without a backend.
     Outcome(Outcome),
 }
@@ -108,10 +100,8 @@
     pub clock: Clock,
     pub catalog: RequestCatalog,
     pub budget: ResourceBudget,
-    /// Memory for request bodies. Each is held from its first byte until the request is answered.
-    pub request_bodies: Rc<ByteBudget>,
-    /// Memory for response bodies. Each is held from its first byte until it is written to the client.
-    pub response_bodies: Rc<ByteBudget>,
+    /// Memory for what clients, backends and discovery send.
+    pub memory: MemoryBudgets,
     /// Timeout for opening a connection to a backend, in seconds.
     pub connect_timeout: f64,
     /// Timeout of a counter call, in seconds.
@@ -157,8 +147,7 @@
             clock,
             catalog: RequestCatalog::new(platform),
             budget,
-            request_bodies: ByteBudget::new(budget.body_bytes),
-            response_bodies: ByteBudget::new(budget.body_bytes),
+            memory: MemoryBudgets::new(&budget),
             connect_timeout: settings.connect_timeout,
             counter_timeout: settings.counter_timeout,
             state: SharedState::new(
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -2,6 +2,7 @@
 
 use crate::context::{CounterCall, NodeContext};
 use crate::panics::spawn_shared;
+use crate::receive::receive;
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -11,13 +12,17 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use weirusher::Status;
+use weirusher_buffers::{Growth, ReadBuffer};
 use weirusher_core::{CounterConnections, EndedCall, Route, UnexpectedResponse};
 use weirusher_platform::counter::{MAX_RESPONSE_BYTES, parse_add_result, write_add};
 use weirusher_platform::response::{Response, ResponseReader};
+use weirusher_wire::http1::MAX_HEAD_BYTES;
 
 /// Maximum number of unwritten bytes on a connection. If there are more, the counter reads too slowly, and
 /// the connection is closed.
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
+/// Sizes of the read buffer of a connection.
+const BUFFER_GROWTH: Growth = Growth { initial: 1024, max: MAX_HEAD_BYTES + 1024 };
 /// Timeout for opening a connection, as a multiple of the timeout of a call.
 const CONNECT_TIMEOUTS: f64 = 5.0;
 
@@ -157,8 +162,9 @@
         outbox: &Outbox,
         stream: TcpStream,
     ) -> Result<(), ConnectionError> {
-        let mut responses = ResponseReader::new(MAX_RESPONSE_BYTES);
-        let (mut unread, mut unwritten) = (BytesMut::new(), BytesMut::new());
+        let budget = self.node.memory.services.clone();
+        let mut responses = ResponseReader::new(MAX_RESPONSE_BYTES, budget.clone());
+        let (mut unread, mut unwritten) = (ReadBuffer::new(BUFFER_GROWTH, budget), BytesMut::new());
         loop {
             let deadline = self.connections.borrow().deadline(connection);
             if deadline.is_none() && self.is_retired.get() {
@@ -173,14 +179,15 @@
                 // Responses first: after a stall of the process they are already buffered in the socket, and
                 // their calls must not time out.
                 biased;
-                read = weirusher_net::read(&stream, &mut unread) => match read? {
-                    0 => {
+                read = receive(&stream, &mut unread, &mut responses) => match read? {
+                    Ok(0) => {
                         return match responses.finish() {
                             Some(last) => self.handle_response(connection, Some(last)),
                             None => Ok(()),
                         };
                     }
-                    _ => self.handle_bytes(connection, &mut responses, &mut unread)?,
+                    Ok(_) => self.handle_bytes(connection, &mut responses, &mut unread)?,
+                    Err(_) => self.handle_response(connection, None)?,
                 },
                 () = async { tokio::time::sleep_until(deadline.unwrap_or_else(tokio::time::Instant::now)).await },
                     if deadline.is_some() =>
@@ -216,7 +223,7 @@
         &self,
         connection: usize,
         responses: &mut ResponseReader,
-        unread: &mut BytesMut,
+        unread: &mut ReadBuffer,
     ) -> Result<(), ConnectionError> {
         loop {
             match responses.read(unread) {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -116,7 +116,8 @@
         pause: Duration,
     ) {
         self.last_poll_at = self.node.now() + pause.as_secs_f64();
-        let poll = Poll { connection, address: self.address, stream, target, started: self.started.clone() };
+        let (started, budget) = (self.started.clone(), self.node.memory.services.clone());
+        let poll = Poll { connection, address: self.address, stream, target, budget, started };
         let task = self.polls.spawn_local(async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
--- a/crates/node/src/discovery/poll.rs
+++ b/crates/node/src/discovery/poll.rs
@@ -1,23 +1,25 @@
 //! One poll for the endpoint list.
 
-use bytes::BytesMut;
+use crate::receive::receive;
+use bytes::Bytes;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
+use weirusher_buffers::{ByteBudget, Growth, ReadBuffer};
 use weirusher_core::WatchConnection;
 use weirusher_platform::list::{ListError, MAX_LIST_BYTES};
 use weirusher_platform::response::ResponseReader;
-use weirusher_wire::http1::HttpError;
+use weirusher_wire::http1::{HttpError, MAX_HEAD_BYTES};
 
-/// Initial capacity of the buffer for a response, in bytes.
-const BUFFER_CAPACITY: usize = 4096;
+/// Sizes of the read buffer, beside which the list has memory of its own.
+const BUFFER_GROWTH: Growth = Growth { initial: 4096, max: MAX_HEAD_BYTES + 4096 };
 
 /// The response to a poll.
 pub(super) struct PollResponse {
     /// The connection, if it can be reused.
     pub stream: Option<TcpStream>,
-    pub body: BytesMut,
+    pub body: Bytes,
 }
 
 /// Why a poll returned no usable list.
@@ -51,6 +53,8 @@
     pub stream: Option<TcpStream>,
     /// The request target.
     pub target: String,
+    /// Grants the memory for the response.
+    pub budget: ByteBudget,
     /// Receives the connection's id when a part of the response has been read.
     pub started: UnboundedSender<WatchConnection>,
 }
@@ -67,10 +71,10 @@
         };
         let request = format!("GET {} HTTP/1.1\r\nHost: discovery.local\r\n\r\n", self.target);
         weirusher_net::write_all(&stream, request.as_bytes()).await?;
-        let mut reader = ResponseReader::new(MAX_LIST_BYTES);
-        let mut buffer = BytesMut::with_capacity(BUFFER_CAPACITY);
+        let mut reader = ResponseReader::new(MAX_LIST_BYTES, self.budget.clone());
+        let mut buffer = ReadBuffer::new(BUFFER_GROWTH, self.budget);
         loop {
-            let response = match weirusher_net::read(&stream, &mut buffer).await? {
+            let response = match receive(&stream, &mut buffer, &mut reader).await?? {
                 0 => Some(reader.finish().ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))?),
                 _ => reader.read(&mut buffer)?,
             };
@@ -79,7 +83,7 @@
                     return Err(PollError::Status(response.status));
                 }
                 let stream = (!response.closes_connection).then_some(stream);
-                return Ok(PollResponse { stream, body: response.body.into() });
+                return Ok(PollResponse { stream, body: response.body.to_bytes() });
             }
             let _ = self.started.send(self.connection); // Without a receiver, this poll is abandoned as well.
         }
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -61,7 +61,7 @@
     pub fn respond(&self, state: &mut NodeState, id: &RequestId, response: ClientResponse) {
         match &response {
             ClientResponse::Served(response) => {
-                log_step!(self, %id, bytes = response.body.len(), "request served");
+                log_step!(self, %id, bytes = response.len(), "request served");
             }
             ClientResponse::Outcome(Outcome::Rejected { retry_after, reason }) => {
                 log_step!(self, %id, %reason, retry_after, "request rejected");
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -1,13 +1,12 @@
 //! Reports events at the sockets to the proxy core, and carries out the outputs that follow.
 
 use crate::client_socket::ClientSocket;
-use crate::context::{
-    ClientResponse, CompleteResponse, NodeContext, NodeState, PendingRequest, RunningAttempt,
-};
+use crate::context::{ClientResponse, NodeContext, NodeState, PendingRequest, RunningAttempt};
 use crate::log::log_step;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use weirusher::{EndpointListKind, LoadReport, Reason, RequestId, Status};
+use weirusher_buffers::Body;
 use weirusher_core::{IncomingRequest, Outcome, RequestStatus, Shutdown};
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::list::ListUpdate;
@@ -16,8 +15,8 @@
 pub struct AttemptResult {
     pub status: Status,
     pub load: LoadReport,
-    /// The response, if it was received completely.
-    pub response: Option<CompleteResponse>,
+    /// The body of the response, if it was received completely.
+    pub response: Option<Body>,
 }
 
 impl AttemptResult {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,7 +11,6 @@
 mod attempt;
 mod backend_connection;
 mod budget;
-mod byte_budget;
 mod client_slot;
 mod client_socket;
 mod close_signal;
@@ -25,8 +24,10 @@
 mod fleet_membership;
 mod listener;
 mod log;
+mod memory;
 mod metrics;
 mod panics;
+mod receive;
 mod run;
 mod run_error;
 mod services;
--- a/crates/node/src/panics/tests.rs
+++ b/crates/node/src/panics/tests.rs
@@ -198,8 +198,8 @@
         assert_eq!((state.proxy.pending(), state.proxy.open_requests()), (0, 0));
         state.pool.evict(harness.node.now(), |_| false); // Closes all idle connections.
         assert_eq!(state.pool.open(), 0);
-        for budget in [&harness.node.request_bodies, &harness.node.response_bodies] {
-            assert!(budget.permit().try_grow_to(harness.node.budget.body_bytes), "the whole budget is free");
+        for budget in [&harness.node.memory.requests, &harness.node.memory.responses] {
+            assert!(budget.grant(harness.node.budget.message_bytes).is_ok(), "the whole budget is free");
         }
         assert_eq!(state.proxy.violations().total(), 0);
     })
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -179,6 +179,7 @@
         metrics = ?state.proxy.metrics(),
         connections = ?node.connections,
         violations = ?state.proxy.violations(),
+        memory = ?node.memory,
         panics = weirusher_panics::count(),
         log_lines_dropped = weirusher_log::dropped_lines(),
         "stopped"
--- a/crates/peers/src/page.rs
+++ b/crates/peers/src/page.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of concurrent connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 16;
+/// Maximum size of the body of a request, which no page needs.
+const MAX_BODY_BYTES: usize = 4 * 1024;
 /// Maximum time that a connection may be idle, and that sending a response may take.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Status of the response to a request that could not be parsed. The connection is closed after it.
@@ -38,7 +40,7 @@
 }
 
 async fn serve_connection(stream: Stream, handler: &impl Handler) {
-    let mut framed = Framed::new(stream, ServerCodec::default());
+    let mut framed = Framed::new(stream, ServerCodec::with_max_body(MAX_BODY_BYTES));
     while let Ok(Some(request)) = tokio::time::timeout(IDLE_TIMEOUT, framed.next()).await {
         let response = match request {
             Ok(request) => handler.handle(&request).await,
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -2,8 +2,9 @@
 
 use crate::client::MAX_BODY_BYTES;
 use crate::response::Response;
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use weirusher::{LoadReport, Status};
+use weirusher_buffers::{Body, BodyBuffer, BudgetExhausted, ByteBudget};
 use weirusher_wire::head::RequestHead;
 
 /// Longest load report that is parsed, in bytes.
@@ -16,37 +17,43 @@
 /// The part of a client request that is forwarded unchanged in every attempt.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ForwardedRequest {
-    /// The head without the time budget, which differs from attempt to attempt.
-    head: Bytes,
-    body: Bytes,
+    /// The request line and the headers that are the same in every attempt. It may be as long as the client's
+    /// head, so its memory is granted like that of the body.
+    head: Body,
+    is_get: bool,
+    body: Body,
 }
 
 impl ForwardedRequest {
-    /// Builds the forwarded request. Method, target, id and body are forwarded as received; other headers are
-    /// not.
-    pub fn new(head: &RequestHead<'_, '_>, id: &str, body: Bytes) -> Self {
-        let mut dst = BytesMut::with_capacity(head.target.len() + id.len() + 96);
-        for part in [head.method, " ", head.target, " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: ", id] {
-            dst.put_slice(part.as_bytes());
+    /// Builds a forwarded request without a body. Method, target and id are forwarded as received; other headers
+    /// are not. `budget` grants the memory of a long head.
+    ///
+    /// # Errors
+    /// The budget is exhausted.
+    pub fn new(head: &RequestHead<'_, '_>, id: &str, budget: ByteBudget) -> Result<Self, BudgetExhausted> {
+        let mut forwarded = BodyBuffer::new(budget);
+        for part in
+            [head.method, " ", head.target, " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: ", id, "\r\n"]
+        {
+            forwarded.append(part.as_bytes())?;
         }
-        dst.put_slice(b"\r\n");
-        if head.method != "GET" || !body.is_empty() {
-            dst.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
-        }
-        Self { head: dst.freeze(), body }
+        Ok(Self { head: forwarded.take(), is_get: head.method == "GET", body: Body::default() })
     }
 
-    /// Returns the body, to be written after the head.
-    pub fn body(&self) -> Bytes {
-        self.body.clone()
+    /// Adds the body, which is forwarded as received.
+    pub fn with_body(self, body: Body) -> Self {
+        Self { body, ..self }
     }
 
-    /// Writes the head of an attempt with a time budget of `timeout` seconds. The body must follow.
-    pub fn write_head(&self, dst: &mut BytesMut, timeout: f64) {
-        dst.put_slice(&self.head);
-        dst.put_slice(
-            format!("X-Expires-In: {}u\r\n\r\n", (timeout * MICROS_PER_SECOND).max(1.0) as u64).as_bytes(),
-        );
+    /// The message of an attempt with a time budget of `timeout` seconds.
+    pub fn message(&self, timeout: f64) -> impl Buf {
+        let length = match self.is_get && self.body.is_empty() {
+            true => String::new(),
+            false => format!("Content-Length: {}\r\n", self.body.len()),
+        };
+        let micros = (timeout * MICROS_PER_SECOND).max(1.0) as u64;
+        let fields = Bytes::from(format!("{length}X-Expires-In: {micros}u\r\n\r\n"));
+        self.head.clone().chain(fields).chain(self.body.clone())
     }
 }
 
--- a/crates/platform/src/client/error.rs
+++ b/crates/platform/src/client/error.rs
@@ -1,6 +1,7 @@
 //! Errors in requests, and the status codes with which they are answered.
 
 use super::MAX_BODY_BYTES;
+use weirusher_buffers::BudgetExhausted;
 use weirusher_wire::http1::HttpError;
 
 /// Why a request is rejected with an error response instead of being forwarded. Such a request was not
@@ -34,9 +35,9 @@
     /// A request with the same id is open.
     #[error("a request with the same id is open")]
     DuplicateId,
-    /// The byte budget for request bodies is exhausted.
-    #[error("the memory budget for request bodies is exhausted")]
-    BodyBudgetExhausted,
+    /// The memory for requests is used by others.
+    #[error("the memory budget for requests is exhausted")]
+    MemoryExhausted,
 }
 
 impl RequestError {
@@ -50,17 +51,24 @@
             Self::UnknownTarget => 404,
             Self::MethodNotAllowed => 405,
             Self::DuplicateId => 409,
-            Self::BodyBudgetExhausted => 503,
+            Self::MemoryExhausted => 503,
         }
     }
 }
 
+impl From<BudgetExhausted> for RequestError {
+    fn from(_: BudgetExhausted) -> Self {
+        Self::MemoryExhausted
+    }
+}
+
 impl From<HttpError> for RequestError {
     fn from(error: HttpError) -> Self {
         match error {
             HttpError::HeadTooLarge => Self::HeadTooLarge,
             HttpError::BodyTooLarge => Self::BodyTooLarge,
             HttpError::InvalidLength => Self::InvalidLength,
+            HttpError::BudgetExhausted(_) => Self::MemoryExhausted,
             _ => Self::MalformedHead,
         }
     }
--- a/crates/platform/src/counter.rs
+++ b/crates/platform/src/counter.rs
@@ -36,7 +36,8 @@
 pub fn parse_add_result(response: &Response) -> Option<AddResult> {
     match response.status {
         200 => {
-            let text = std::str::from_utf8(&response.body).ok()?.trim();
+            let body = response.body.to_bytes();
+            let text = std::str::from_utf8(&body).ok()?.trim();
             let total = text.parse().ok().filter(|total: &f64| total.is_finite())?;
             Some(AddResult { status: Status::Ok, total })
         }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -1,6 +1,7 @@
 //! An incremental reader for the responses of backends, the counter and discovery.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Buf;
+use weirusher_buffers::{Body, ByteBudget};
 use weirusher_wire::body::{BodyReader, Framing};
 use weirusher_wire::head::{EMPTY_HEADERS, HeadSearch, parse_response};
 use weirusher_wire::http1::HttpError;
@@ -14,7 +15,7 @@
     /// The HTTP status code.
     pub status: u16,
     /// The complete body, without transfer coding.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the backend states that it did not execute the request (`X-Never-Ran: 1`).
     pub not_executed: bool,
     /// The unparsed load report of the backend.
@@ -27,6 +28,7 @@
 #[derive(Debug)]
 pub struct ResponseReader {
     max_body: usize,
+    budget: ByteBudget,
     head_search: HeadSearch,
     /// The response whose body is being read, and the reader of its body.
     head: Option<(Response, BodyReader)>,
@@ -36,9 +38,10 @@
 }
 
 impl ResponseReader {
-    /// Creates a reader for responses with bodies of at most `max_body` bytes.
-    pub fn new(max_body: usize) -> Self {
-        Self { max_body, head_search: HeadSearch::default(), head: None, interim: 0, started: false }
+    /// Creates a reader for responses with bodies of at most `max_body` bytes, whose memory is granted by
+    /// `budget`.
+    pub fn new(max_body: usize, budget: ByteBudget) -> Self {
+        Self { max_body, budget, head_search: HeadSearch::default(), head: None, interim: 0, started: false }
     }
 
     /// Whether the next response was received in part.
@@ -46,21 +49,30 @@
         self.started
     }
 
-    /// Number of bytes of the body that the reader holds, not counting those that are still in `src`.
-    pub fn buffered(&self) -> usize {
-        self.head.as_ref().map_or(0, |(_, body)| body.buffered())
+    /// Number of the next bytes that certainly belong to a body. They may be passed to [`Self::append`] as they
+    /// arrive.
+    pub fn expected(&self) -> usize {
+        self.head.as_ref().map_or(0, |(_, body)| body.expected())
     }
 
-    /// Consumes bytes from `src`, and returns the next response once it is complete.
+    /// Adds bytes to the body, no more than [`Self::expected`].
     ///
     /// # Errors
-    /// The response is malformed or too long; the connection must be closed.
-    pub fn read(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
+    /// The body is too long, or its budget is exhausted.
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        self.head.as_mut().map_or(Ok(()), |(_, body)| body.append(bytes))
+    }
+
+    /// Consumes bytes from `src`, a contiguous buffer, and returns the next response once it is complete.
+    ///
+    /// # Errors
+    /// The response is malformed or too long, or its budget is exhausted; the connection must be closed.
+    pub fn read(&mut self, src: &mut impl Buf) -> Result<Option<Response>, HttpError> {
         while self.head.is_none() {
-            self.started = !src.is_empty();
-            let Some(end) = self.head_search.find_end(src)? else { return Ok(None) };
-            let head = src.split_to(end);
-            self.read_head(&head)?;
+            self.started = src.has_remaining();
+            let Some(end) = self.head_search.find_end(src.chunk())? else { return Ok(None) };
+            self.read_head(&src.chunk()[..end])?;
+            src.advance(end);
         }
         let Some((_, body)) = &mut self.head else { return Ok(None) };
         let Some(body) = body.read(src)? else { return Ok(None) };
@@ -94,16 +106,16 @@
         };
         let response = Response {
             status: head.status,
-            body: Bytes::new(),
+            body: Body::default(),
             not_executed: fields.single("X-Never-Ran") == Ok(Some("1")),
             load_report: fields.single("Endpoint-Load-Metrics").ok().flatten().map(str::to_string),
             closes_connection: fields.closes_connection() || framing == Framing::UntilClose,
         };
-        self.head = Some((response, BodyReader::new(framing, self.max_body)));
+        self.head = Some((response, BodyReader::new(framing, self.max_body, self.budget.clone())));
         Ok(())
     }
 
-    fn complete(&mut self, body: Bytes) -> Option<Response> {
+    fn complete(&mut self, body: Body) -> Option<Response> {
         self.interim = 0;
         self.head.take().map(|(response, _)| Response { body, ..response })
     }
--- a/crates/platform/tests/parsers.rs
+++ b/crates/platform/tests/parsers.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use serde_json::json;
 use weirusher::{EndpointListKind, Lifecycle, PlatformSettings, Status};
+use weirusher_buffers::ByteBudget;
 use weirusher_platform::client::{self, ClientMessage, ClientRequest, RequestCatalog, RequestError};
 use weirusher_platform::counter::AddResult;
 use weirusher_platform::list::{ListState, MAX_LIST_BYTES};
@@ -120,7 +121,8 @@
 }
 
 fn responses(bytes: &[u8], piece: usize) -> Result<Vec<Response>, String> {
-    let (mut reader, mut unread, mut all) = (ResponseReader::new(1024), BytesMut::new(), Vec::new());
+    let (mut reader, mut unread, mut all) =
+        (ResponseReader::new(1024, ByteBudget::new(0)), BytesMut::new(), Vec::new());
     for part in bytes.chunks(piece.max(1)) {
         unread.extend_from_slice(part);
         while let Some(response) = reader.read(&mut unread).map_err(|e| e.to_string())? {
@@ -168,24 +170,24 @@
 /// Only an orderly close of the connection completes it.
 #[test]
 fn response_without_a_length_ends_with_the_connection() {
-    let mut reader = ResponseReader::new(1024);
+    let mut reader = ResponseReader::new(1024, ByteBudget::new(0));
     let mut src = BytesMut::from(&b"HTTP/1.1 200 OK\r\nX: y\r\n\r\nok"[..]);
     assert!(reader.read(&mut src).unwrap().is_none(), "the response may continue");
     src.extend_from_slice(b" then");
     assert!(reader.read(&mut src).unwrap().is_none() && reader.has_started());
     let complete = reader.finish().expect("the close ends the response");
     assert_eq!(
-        (backend::attempt_status(&complete), &complete.body[..], complete.closes_connection),
+        (backend::attempt_status(&complete), &complete.body.to_bytes()[..], complete.closes_connection),
         (Status::Ok, &b"ok then"[..], true)
     );
     // The close of the connection does not complete any other response.
     for half in ["HTTP/1.1 200 OK\r\nX: y", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", ""] {
-        let mut reader = ResponseReader::new(1024);
+        let mut reader = ResponseReader::new(1024, ByteBudget::new(0));
         assert!(reader.read(&mut BytesMut::from(half)).unwrap().is_none());
         assert_eq!(reader.finish(), None, "{half}");
     }
     let past = format!("HTTP/1.1 200 OK\r\n\r\n{}", "x".repeat(1025));
-    assert!(ResponseReader::new(1024).read(&mut BytesMut::from(&*past)).is_err());
+    assert!(ResponseReader::new(1024, ByteBudget::new(0)).read(&mut BytesMut::from(&*past)).is_err());
     let none = responses(b"HTTP/1.1 204 -\r\n\r\nHTTP/1.1 304 -\r\n\r\n", 5).unwrap();
     assert_eq!(none.len(), 2, "responses without a body");
 }
@@ -327,9 +329,11 @@
         let text = serde_json::to_string_pretty(&list).unwrap();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len());
         let mut src = BytesMut::from(format!("{head}{text}").as_bytes());
-        let response =
-            ResponseReader::new(MAX_LIST_BYTES).read(&mut src).unwrap().expect("the response is complete");
-        let update = ListState::default().apply(&response.body).unwrap().expect("the first list");
+        let response = ResponseReader::new(MAX_LIST_BYTES, ByteBudget::new(2 * MAX_LIST_BYTES))
+            .read(&mut src)
+            .unwrap()
+            .expect("the response is complete");
+        let update = ListState::default().apply(&response.body.to_bytes()).unwrap().expect("the first list");
         assert_eq!((update.endpoints.len(), update.problems.len()), (entry_count, 0));
     }
 }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -2,7 +2,8 @@
 
 use crate::head::HeadSearch;
 use crate::http1::HttpError;
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Buf;
+use weirusher_buffers::{Body, BodyBuffer, ByteBudget};
 
 /// Maximum length of a chunk's size line in bytes, chunk extensions included.
 const MAX_SIZE_LINE: usize = 1024;
@@ -35,16 +36,17 @@
     framing: Framing,
     max_length: usize,
     chunk: ChunkState,
-    /// What was read so far of a body without a `Content-Length`.
-    body: BytesMut,
+    /// What was read so far.
+    body: BodyBuffer,
     trailers: HeadSearch,
 }
 
 impl BodyReader {
-    /// Creates a reader for one body of at most `max_length` bytes. For [`Framing::Length`] the caller must have
-    /// checked that the length is no more than `max_length`; it is not checked here.
-    pub fn new(framing: Framing, max_length: usize) -> Self {
-        let (body, trailers) = (BytesMut::new(), HeadSearch::default());
+    /// Creates a reader for one body of at most `max_length` bytes, whose memory is granted by `budget`. For
+    /// [`Framing::Length`] the caller must have checked that the length is no more than `max_length`; it is not
+    /// checked here.
+    pub fn new(framing: Framing, max_length: usize, budget: ByteBudget) -> Self {
+        let (body, trailers) = (BodyBuffer::new(budget), HeadSearch::default());
         Self { framing, max_length, chunk: ChunkState::SizeLine, body, trailers }
     }
 
@@ -53,29 +55,54 @@
         self.body.len()
     }
 
-    /// Consumes bytes of `src` and returns the body once it is complete. Bytes after the body stay in `src`.
+    /// The number of bytes, after those that were passed to [`Self::read`], that certainly belong to the body. They
+    /// may be passed to [`Self::append`] as they arrive.
+    pub fn expected(&self) -> usize {
+        match (self.framing, &self.chunk) {
+            (Framing::Length(length), _) => length - self.body.len(),
+            (Framing::Chunked, ChunkState::Data(missing)) => *missing,
+            (Framing::Chunked, _) => 0,
+            (Framing::UntilClose, _) => usize::MAX,
+        }
+    }
+
+    /// Adds bytes to the body, no more than [`Self::expected`].
     ///
     /// # Errors
-    /// A chunk is malformed, or the body is too long.
-    pub fn read(&mut self, src: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
+    /// The body is too long, or the budget is exhausted.
+    pub fn append(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        if self.body.len() + bytes.len() > self.max_length {
+            return Err(HttpError::BodyTooLarge);
+        }
+        if let ChunkState::Data(missing) = &mut self.chunk {
+            *missing -= bytes.len();
+        }
+        Ok(self.body.append(bytes)?)
+    }
+
+    /// Consumes bytes of `src`, a contiguous buffer, and returns the body once it is complete. Bytes after the body
+    /// stay in `src`.
+    ///
+    /// # Errors
+    /// A chunk is malformed, the body is too long, or the budget is exhausted.
+    pub fn read(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
         match self.framing {
-            Framing::Length(length) if src.len() < length => {
-                src.reserve(length - src.len());
-                Ok(None)
-            }
-            Framing::Length(length) => Ok(Some(src.split_to(length).freeze())),
             Framing::Chunked => self.read_chunked(src),
-            Framing::UntilClose => self.append(src.len(), src).map(|()| None),
+            Framing::Length(_) => {
+                self.consume(src)?;
+                Ok((self.expected() == 0).then(|| self.body.take()))
+            }
+            Framing::UntilClose => self.consume(src).map(|()| None),
         }
     }
 
     /// Called when the peer has closed the connection: returns the body if its framing is [`Framing::UntilClose`].
     /// `None` means that the body is incomplete.
-    pub fn finish(&mut self) -> Option<Bytes> {
-        (self.framing == Framing::UntilClose).then(|| self.body.split().freeze())
+    pub fn finish(&mut self) -> Option<Body> {
+        (self.framing == Framing::UntilClose).then(|| self.body.take())
     }
 
-    fn read_chunked(&mut self, src: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
+    fn read_chunked(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
         loop {
             match self.chunk {
                 ChunkState::SizeLine => match take_size_line(src)? {
@@ -86,17 +113,10 @@
                     }
                     Some(size) => self.chunk = ChunkState::Data(size as usize),
                 },
-                ChunkState::Data(missing) => {
-                    let available = missing.min(src.len());
-                    self.append(available, src)?;
-                    if available < missing {
-                        src.reserve(missing - available);
-                        self.chunk = ChunkState::Data(missing - available);
-                        return Ok(None);
-                    }
-                    self.chunk = ChunkState::DataEnd;
-                }
-                ChunkState::DataEnd => match src.get(..2) {
+                ChunkState::Data(0) => self.chunk = ChunkState::DataEnd,
+                ChunkState::Data(_) if !src.has_remaining() => return Ok(None),
+                ChunkState::Data(_) => self.consume(src)?,
+                ChunkState::DataEnd => match src.chunk().get(..2) {
                     None => return Ok(None),
                     Some(b"\r\n") => {
                         src.advance(2);
@@ -111,43 +131,43 @@
 
     /// Reads the trailer section after the last chunk. Trailers are discarded. They may be no longer than a
     /// message head.
-    fn read_trailers(&mut self, src: &mut BytesMut) -> Result<Option<Bytes>, HttpError> {
-        let end = match src.get(..2) {
+    fn read_trailers(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
+        let end = match src.chunk().get(..2) {
             None => return Ok(None),
             Some(b"\r\n") => 2,
-            Some(_) => match self.trailers.find_end(src)? {
+            Some(_) => match self.trailers.find_end(src.chunk())? {
                 None => return Ok(None),
                 Some(end) => end,
             },
         };
         src.advance(end);
-        Ok(Some(self.body.split().freeze()))
+        Ok(Some(self.body.take()))
     }
 
-    /// Moves the first `count` bytes of `src` to the end of the body.
-    fn append(&mut self, count: usize, src: &mut BytesMut) -> Result<(), HttpError> {
-        if self.body.len() + count > self.max_length {
-            return Err(HttpError::BodyTooLarge);
-        }
-        self.body.extend_from_slice(&src.split_to(count));
+    /// Moves the expected bytes at the start of `src` to the end of the body.
+    fn consume(&mut self, src: &mut impl Buf) -> Result<(), HttpError> {
+        let count = self.expected().min(src.remaining());
+        self.append(&src.chunk()[..count])?;
+        src.advance(count);
         Ok(())
     }
 }
 
 /// Removes a chunk's size line from `src` once it is complete, and returns the size.
-fn take_size_line(src: &mut BytesMut) -> Result<Option<u64>, HttpError> {
+fn take_size_line(src: &mut impl Buf) -> Result<Option<u64>, HttpError> {
     let invalid = || HttpError::Malformed("a chunk has no valid size");
+    let line = src.chunk();
     // `httparse` takes an empty line for the size 0, which would end the body; it is rejected here.
-    if src.first().is_some_and(|first| !first.is_ascii_hexdigit()) {
+    if line.first().is_some_and(|first| !first.is_ascii_hexdigit()) {
         return Err(invalid());
     }
-    match httparse::parse_chunk_size(src).map_err(|_| invalid())? {
+    match httparse::parse_chunk_size(line).map_err(|_| invalid())? {
         httparse::Status::Complete((end, _)) if end > MAX_SIZE_LINE => Err(invalid()),
         httparse::Status::Complete((end, size)) => {
             src.advance(end);
             Ok(Some(size))
         }
-        httparse::Status::Partial if src.len() > MAX_SIZE_LINE => Err(invalid()),
+        httparse::Status::Partial if line.len() > MAX_SIZE_LINE => Err(invalid()),
         httparse::Status::Partial => Ok(None),
     }
 }
--- a/crates/wire/src/http1.rs
+++ b/crates/wire/src/http1.rs
@@ -4,6 +4,7 @@
 use crate::head::{EMPTY_HEADERS, HeadSearch, HeaderFields, parse_request, parse_response};
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
+use weirusher_buffers::{BLOCK_BYTES, BudgetExhausted, ByteBudget};
 
 /// Maximum size of a message head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -35,6 +36,9 @@
     /// encoding is not supported.
     #[error("a body whose length is ambiguous or not supported")]
     InvalidLength,
+    /// The memory for the message is used by others.
+    #[error(transparent)]
+    BudgetExhausted(#[from] BudgetExhausted),
 }
 
 /// Headers in the order of the message, with names in lower case.
@@ -105,31 +109,37 @@
 /// Reads messages. The head of each is parsed once, when all of it has arrived.
 #[derive(Debug)]
 struct MessageReader<M> {
+    max_body: usize,
     head: Option<(M, BodyReader)>,
     search: HeadSearch,
 }
 
 impl<M> Default for MessageReader<M> {
     fn default() -> Self {
-        Self { head: None, search: HeadSearch::default() }
+        Self::new(MAX_BODY_BYTES)
     }
 }
 
 impl<M> MessageReader<M> {
+    fn new(max_body: usize) -> Self {
+        Self { max_body, head: None, search: HeadSearch::default() }
+    }
+
     fn read(
         &mut self,
         src: &mut BytesMut,
-        parse: impl FnOnce(&[u8]) -> Result<(M, usize), HttpError>,
+        parse: impl FnOnce(&[u8], usize) -> Result<(M, usize), HttpError>,
     ) -> Result<Option<(M, Bytes)>, HttpError> {
         if self.head.is_none() {
             let Some(end) = self.search.find_end(src)? else { return Ok(None) };
             let head = src.split_to(end);
-            let (message, length) = parse(&head)?;
-            self.head = Some((message, BodyReader::new(Framing::Length(length), MAX_BODY_BYTES)));
+            let (message, length) = parse(&head, self.max_body)?;
+            let budget = ByteBudget::new(length.next_multiple_of(BLOCK_BYTES)); // This body's own.
+            self.head = Some((message, BodyReader::new(Framing::Length(length), self.max_body, budget)));
         }
         let Some((_, body)) = &mut self.head else { return Ok(None) };
         let Some(body) = body.read(src)? else { return Ok(None) };
-        Ok(self.head.take().map(|(message, _)| (message, body)))
+        Ok(self.head.take().map(|(message, _)| (message, body.to_bytes())))
     }
 }
 
@@ -137,15 +147,22 @@
 #[derive(Debug, Default)]
 pub struct ServerCodec(MessageReader<Request>);
 
+impl ServerCodec {
+    /// A codec for requests with bodies of at most `max_body` bytes.
+    pub fn with_max_body(max_body: usize) -> Self {
+        Self(MessageReader::new(max_body))
+    }
+}
+
 impl Decoder for ServerCodec {
     type Item = Request;
     type Error = HttpError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Request>, HttpError> {
-        let read = self.0.read(src, |head| {
+        let read = self.0.read(src, |head, max_body| {
             let mut slots = EMPTY_HEADERS;
             let parsed = parse_request(head, &mut slots)?;
-            let length = parsed.fields.content_length(MAX_BODY_BYTES)?.unwrap_or(0);
+            let length = parsed.fields.content_length(max_body)?.unwrap_or(0);
             let (method, path) = (parsed.method.to_string(), parsed.target.to_string());
             let headers = Headers::parse(parsed.fields)?;
             Ok((Request { method, path, headers, body: Bytes::new() }, length))
@@ -174,10 +191,10 @@
     type Error = HttpError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Response>, HttpError> {
-        let read = self.0.read(src, |head| {
+        let read = self.0.read(src, |head, max_body| {
             let mut slots = EMPTY_HEADERS;
             let parsed = parse_response(head, &mut slots)?;
-            let length = parsed.fields.content_length(MAX_BODY_BYTES)?.unwrap_or(0);
+            let length = parsed.fields.content_length(max_body)?.unwrap_or(0);
             let headers = Headers::parse(parsed.fields)?;
             Ok((Response { status: parsed.status, headers, body: Bytes::new() }, length))
         })?;
--- a/crates/wire/tests/body.rs
+++ b/crates/wire/tests/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
+use weirusher_buffers::ByteBudget;
 use weirusher_wire::body::{BodyReader, Framing};
 use weirusher_wire::head::{EMPTY_HEADERS, parse_request};
 use weirusher_wire::http1::HttpError;
@@ -10,7 +11,7 @@
 
 /// The result of a reader for bytes that arrive in pieces, and the bytes that it did not consume.
 fn read(framing: Framing, bytes: &[u8], piece: usize) -> Result<(Option<Bytes>, BytesMut), HttpError> {
-    let (mut reader, mut src) = (BodyReader::new(framing, MAX_LENGTH), BytesMut::new());
+    let (mut reader, mut src) = (BodyReader::new(framing, MAX_LENGTH, ByteBudget::new(0)), BytesMut::new());
     let mut body = reader.read(&mut src)?;
     for part in bytes.chunks(piece.max(1)) {
         src.extend_from_slice(part);
@@ -19,7 +20,8 @@
         }
         assert!(reader.buffered() <= MAX_LENGTH);
     }
-    Ok((body.or_else(|| reader.finish()), src))
+    let body = body.or_else(|| reader.finish());
+    Ok((body.map(|body| body.to_bytes()), src))
 }
 
 fn chunked(text: &str) -> Result<Option<Bytes>, HttpError> {
@@ -88,6 +90,29 @@
     }
 }
 
+/// As [`read`], with the bytes that the reader expects passed to it past the source buffer.
+fn read_directly(
+    framing: Framing,
+    mut bytes: &[u8],
+    piece: usize,
+) -> Result<(Option<Bytes>, Vec<u8>), HttpError> {
+    let (mut reader, mut src) = (BodyReader::new(framing, MAX_LENGTH, ByteBudget::new(0)), BytesMut::new());
+    let mut body = reader.read(&mut src)?;
+    while body.is_none() && !bytes.is_empty() {
+        let expected = reader.expected();
+        let (part, rest) =
+            bytes.split_at(piece.min(if expected > 0 { expected } else { 1 }).min(bytes.len()));
+        match expected {
+            0 => src.extend_from_slice(part),
+            _ => reader.append(part)?,
+        }
+        bytes = rest;
+        body = reader.read(&mut src)?;
+    }
+    let body = body.or_else(|| reader.finish());
+    Ok((body.map(|body| body.to_bytes()), [&src[..], bytes].concat()))
+}
+
 proptest! {
     #[test]
     fn the_split_of_a_body_does_not_change_it(chunks in proptest::collection::vec("[a-z]{1,40}", 0..8),
@@ -102,6 +127,9 @@
             let (body, rest) = read(framing, text.as_bytes(), piece).unwrap();
             prop_assert_eq!(body.as_deref(), Some(whole.as_bytes()));
             prop_assert_eq!(&rest[..], behind.as_bytes());
+            let (body, rest) = read_directly(framing, text.as_bytes(), piece).unwrap();
+            prop_assert_eq!(body.as_deref(), Some(whole.as_bytes()));
+            prop_assert_eq!(&rest[..], behind.as_bytes());
         }
         let (body, rest) = read(Framing::UntilClose, whole.as_bytes(), piece).unwrap();
         prop_assert_eq!((body.as_deref(), rest.len()), (Some(whole.as_bytes()), 0));
--- a/fuzz/fuzz_targets/platform.rs
+++ b/fuzz/fuzz_targets/platform.rs
@@ -3,6 +3,7 @@
 
 use bytes::BytesMut;
 use libfuzzer_sys::fuzz_target;
+use weirusher_buffers::ByteBudget;
 use weirusher_platform::config::Config;
 use weirusher_platform::list::ListState;
 use weirusher_platform::response::ResponseReader;
@@ -10,7 +11,7 @@
 
 /// The status codes of the decoded responses; `None` stands for an error.
 fn read(bytes: &[u8], piece: usize) -> Vec<Option<u16>> {
-    let (mut reader, mut buffer, mut statuses) = (ResponseReader::new(1024), BytesMut::new(), Vec::new());
+    let (mut reader, mut buffer, mut statuses) = (ResponseReader::new(1024, ByteBudget::new(0)), BytesMut::new(), Vec::new());
     for part in bytes.chunks(piece) {
         buffer.extend_from_slice(part);
         loop {
