Endpoint lists are parsed entry by entry, not as trees of values

A list of 4 MiB, which is allowed, with two million tiny values in place of entries took a gateway with 32 MB to 77.3 MB while it was parsed, before it was rejected.

Cause: all entries became a Vec of serde_json values before their number was checked.

Change: an entry stays borrowed text until its turn, at most 4096 are kept, each is parsed into its own fields and unknown fields are skipped. The cached list in the configuration goes the same way. An entry that names a field twice is now invalid; the last one counted before.

--- a/crates/cli/tests/node_memory/memory_limits.rs
+++ b/crates/cli/tests/node_memory/memory_limits.rs
@@ -278,3 +278,47 @@
         }
     }
 }
+
+/// Largest endpoint list that the gateway reads, in bytes.
+const MAX_LIST: usize = 4 << 20;
+
+/// Replaces the endpoint list several times while a usual client is served, and returns the memory that the gateway used.
+async fn memory_with_lists(harness: &Harness, list: &str) -> Memory {
+    let replace = async {
+        for index in 10..16 {
+            harness.discovery.set_list(index, list.replace(r#""index":0"#, &format!(r#""index":{index}"#)));
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    };
+    let none: Trouble = |_| Box::pin(std::future::ready(Ok(())));
+    let usual = Limits { clients: 0, ..SMALL };
+    tokio::join!(peak_memory(harness, usual, none), replace).0
+}
+
+/// Guards against lists that need a multiple of their size when they are parsed: many tiny values in place of entries,
+/// one entry with many values in it, and as many backends as a list may have.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endpoint_lists_stay_within_the_memory_limit() {
+    let _running = RUNNING.lock().await;
+    let list = |entries: &str| format!(r#"{{"index":0,"snapshot":true,"endpoints":[{entries}]}}"#);
+    let zeros = "0,".repeat(MAX_LIST / 2 - 100) + "0";
+    let entry = |n: usize| {
+        let name = format!("{}-{n}", "n".repeat(200));
+        format!(
+            r#"{{"name":"{name}","address":"127.0.0.1:9","zone":"a","type":"{}","group":0,"status":"DRAINING","weight":1.0,"since_ms":0}}"#,
+            "t".repeat(600)
+        )
+    };
+    let full: Vec<String> = (0..4096).map(entry).collect();
+    for (what, entries) in [
+        ("tiny values", zeros.clone()),
+        ("a deep entry", format!(r#"{{"x":[{zeros}]}}"#)),
+        ("full", full.join(",")),
+    ] {
+        let (harness, text) = (start(SMALL).await, list(&entries));
+        assert!(text.len() <= MAX_LIST, "{what}: {}", text.len());
+        let memory = memory_with_lists(&harness, &text).await;
+        println!("{what}: {memory:?}");
+        assert!(memory.peak <= SMALL.memory_mb * MEGABYTE, "{what}: {memory:?}");
+    }
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -3,6 +3,7 @@
 use crate::list::{ListError, ListMessage, ListUpdate};
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use weirusher::{EndpointListKind, PlatformSettings, PlatformSettingsError};
 
@@ -16,7 +17,7 @@
     limits: Limits,
     counter: Option<SocketAddr>,
     #[serde(rename = "known")]
-    cached_list: Option<Value>,
+    cached_list: Option<Box<RawValue>>,
     settings: Value,
 }
 
@@ -97,7 +98,8 @@
         let file: ConfigFile = serde_json::from_slice(text)?;
         let platform = PlatformSettings::read(&file.settings)?;
         let cached_list = file.cached_list.map(|list| {
-            ListMessage::deserialize(list)?.into_update(&platform.zones, EndpointListKind::StaleSnapshot)
+            ListMessage::parse(list.get().as_bytes())?
+                .into_update(&platform.zones, EndpointListKind::StaleSnapshot)
         });
         Ok(Self {
             name: file.name,
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -1,12 +1,13 @@
 //! The endpoint list in the format of discovery and of the configuration file.
 
+mod entries;
 mod entry;
 
 pub use entry::{EntryError, EntryProblem};
 
+use entries::Entries;
 use entry::{Entry, MAX_NAME_BYTES, backend_name};
 use serde::Deserialize;
-use serde_json::Value;
 use std::net::SocketAddr;
 use weirusher::{BackendId, Endpoint, EndpointListKind, Lifecycle};
 
@@ -19,15 +20,16 @@
 /// Maximum number of invalid entries that one update reports.
 const MAX_PROBLEMS: usize = 4;
 
-/// A complete list or a set of changes, as received.
-#[derive(Debug, Clone, Deserialize)]
-pub(crate) struct ListMessage {
+/// A complete list or a set of changes, as received. Its entries are parsed one at a time, so that a list needs no
+/// multiple of its size.
+#[derive(Debug, Deserialize)]
+pub(crate) struct ListMessage<'a> {
     #[serde(rename = "index")]
     version: u64,
     #[serde(rename = "snapshot")]
     is_complete: bool,
-    #[serde(rename = "endpoints")]
-    entries: Vec<Value>,
+    #[serde(rename = "endpoints", borrow)]
+    entries: Entries<'a>,
 }
 
 /// Why a list is rejected. The previous list stays in use.
@@ -106,7 +108,7 @@
     /// # Errors
     /// The list is rejected; the version in use stays.
     pub fn apply(&mut self, body: &[u8]) -> Result<Option<ListUpdate>, ListError> {
-        let message: ListMessage = serde_json::from_slice(body)?;
+        let message = ListMessage::parse(body)?;
         if !message.is_complete && self.version.is_none_or(|version| message.version < version) {
             self.version = None;
             return Ok(None);
@@ -118,7 +120,15 @@
     }
 }
 
-impl ListMessage {
+impl<'a> ListMessage<'a> {
+    /// Parses a list without its entries.
+    ///
+    /// # Errors
+    /// The list is not JSON of the expected form.
+    pub(crate) fn parse(text: &'a [u8]) -> Result<Self, ListError> {
+        Ok(serde_json::from_slice(text)?)
+    }
+
     /// Converts the message to an update; `complete_kind` is the kind of a complete list. An invalid entry
     /// does not invalidate the list, but its backend gets no new requests.
     ///
@@ -129,15 +139,15 @@
         zones: &[String],
         complete_kind: EndpointListKind,
     ) -> Result<ListUpdate, ListError> {
-        if self.entries.len() > MAX_ENTRIES {
+        if self.entries.too_many {
             return Err(ListError::TooManyEntries);
         }
         let kind = if self.is_complete { complete_kind } else { EndpointListKind::Delta };
         let mut update =
             ListUpdate { kind, endpoints: Vec::new(), addresses: Vec::new(), problems: Vec::new() };
-        let is_empty = self.entries.is_empty();
-        for value in self.entries {
-            match (backend_name(&value), Entry::parse(value)) {
+        let is_empty = self.entries.texts.is_empty();
+        for text in self.entries.texts {
+            match (backend_name(text.get()), Entry::parse(text.get())) {
                 (Some(name), Ok(entry)) => update.add(name, entry, zones),
                 (name, parsed) => update.add_invalid(name, parsed.err().unwrap_or(EntryError::InvalidName)),
             }
--- a/crates/platform/src/list/entry.rs
+++ b/crates/platform/src/list/entry.rs
@@ -2,7 +2,7 @@
 
 use super::EndpointAddress;
 use serde::Deserialize;
-use serde_json::Value;
+use std::borrow::Cow;
 use std::fmt;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -70,9 +70,10 @@
 }
 
 impl Entry {
-    pub(super) fn parse(value: Value) -> Result<Self, EntryError> {
+    /// Parses the text of an entry. Unknown fields are skipped.
+    pub(super) fn parse(text: &str) -> Result<Self, EntryError> {
         let entry: Self =
-            serde_json::from_value(value).map_err(|error| EntryError::Malformed(error.to_string()))?;
+            serde_json::from_str(text).map_err(|error| EntryError::Malformed(error.to_string()))?;
         if !entry.since_ms.is_finite() || entry.since_ms < 0.0 {
             return Err(EntryError::InvalidStart);
         }
@@ -102,10 +103,17 @@
     }
 }
 
-/// Returns the name in an entry, if it is valid.
-pub(super) fn backend_name(entry: &Value) -> Option<BackendId> {
-    let name = entry.get("name")?.as_str()?;
-    (!name.is_empty() && name.len() <= MAX_NAME_BYTES).then(|| name.into())
+/// The name in an entry, apart from its other fields.
+#[derive(Deserialize)]
+struct EntryName<'a> {
+    #[serde(borrow)]
+    name: Cow<'a, str>,
+}
+
+/// Returns the name in the text of an entry, if it is valid.
+pub(super) fn backend_name(text: &str) -> Option<BackendId> {
+    let EntryName { name } = serde_json::from_str(text).ok()?;
+    (!name.is_empty() && name.len() <= MAX_NAME_BYTES).then(|| (*name).into())
 }
 
 /// Returns the number of a zone: its index in the settings, or a hash of its name for a zone that is not in
