weirusher run: incomplete messages of all proxies have one budget of 64 MiB

Each of 1,024 x 1,024 streams could hold a check of up to 256 KiB whose end never comes; 1,600 streams with 200 kB each took a gateway to 366.6 MB.

Cause: the decoder reserves a message's announced length and holds what has arrived, no budget is shared by the streams, flow-control windows were the library's defaults, and a decoded check was held while it was pending.

Change: ext_authz::budgeted_body collects messages in blocks that a budget grants, and gives the decoder complete ones only; without memory the call ends with RESOURCE_EXHAUSTED. The first KiB needs no grant. Windows are 64 KiB a stream, 256 KiB a connection. A check is dropped once it is parsed.

The price of the budget for a check in time was not measured.

--- a/crates/buffers/src/body.rs
+++ b/crates/buffers/src/body.rs
@@ -108,6 +108,13 @@
         self.remaining == 0
     }
 
+    /// Takes the first piece of the bytes that remain, without copying it.
+    pub fn take_segment(&mut self) -> Option<Bytes> {
+        let segment = self.segments.pop_front()?;
+        self.remaining -= segment.len();
+        Some(segment)
+    }
+
     /// The bytes that remain, in one piece. A short body is not copied.
     pub fn to_bytes(&self) -> Bytes {
         self.clone().copy_to_bytes(self.remaining)
--- a/crates/buffers/tests/buffers.rs
+++ b/crates/buffers/tests/buffers.rs
@@ -99,6 +99,11 @@
         let whole = parts.concat();
         let mut body = buffer.take();
         prop_assert_eq!(body.len(), whole.len());
+        let (mut pieces, mut joined) = (body.clone(), Vec::new());
+        while let Some(piece) = pieces.take_segment() {
+            joined.extend_from_slice(&piece);
+        }
+        prop_assert_eq!((&joined[..], pieces.len()), (&whole[..], 0));
         prop_assert!(body == whole[..]);
         prop_assert!(body == Body::from(Bytes::from(whole.clone())));
         let mut slices = [std::io::IoSlice::new(&[]); 16];
--- a/crates/cli/tests/run_process.rs
+++ b/crates/cli/tests/run_process.rs
@@ -279,3 +279,71 @@
         assert_serves_and_stops(&mut Gateway::start_with_log(stderr)).await;
     }
 }
+
+/// Bytes of a check of which only the first part is sent.
+const ANNOUNCED_BYTES: u32 = 250_000;
+const SENT_BYTES: usize = 200_000;
+/// Connections that send incomplete checks, and checks on each.
+const INCOMPLETE_CONNECTIONS: usize = 40;
+const INCOMPLETE_CHECKS: usize = 40;
+/// Memory that docs/blocking.md states for the incomplete messages of all connections, for each connection and for each
+/// stream.
+const MESSAGES_BYTES: u64 = 64 << 20;
+const CONNECTION_BYTES: u64 = 256 << 10;
+const STREAM_BYTES: u64 = 20 << 10;
+
+/// Sends the first part of a check. Returns the stream, which stays open while the gateway keeps it.
+async fn send_incomplete_check(client: SendRequest<Bytes>) -> Result<h2::SendStream<Bytes>, h2::Error> {
+    let request = http::Request::post("http://x/envoy.service.auth.v3.Authorization/Check")
+        .header("content-type", "application/grpc")
+        .header("te", "trailers")
+        .body(())
+        .unwrap();
+    let mut prefix = vec![0];
+    prefix.extend_from_slice(&ANNOUNCED_BYTES.to_be_bytes());
+    let (_response, mut body) = client.ready().await?.send_request(request, false)?;
+    let mut unsent = Bytes::from([prefix, vec![0; SENT_BYTES]].concat());
+    while !unsent.is_empty() {
+        body.reserve_capacity(unsent.len());
+        while body.capacity() == 0 {
+            if std::future::poll_fn(|cx| body.poll_capacity(cx)).await.transpose()?.is_none() {
+                return Ok(body);
+            }
+        }
+        let count = body.capacity().min(unsent.len());
+        body.send_data(unsent.split_to(count), false)?;
+    }
+    Ok(body)
+}
+
+/// Guards against a multiple of the largest check for each of the streams that a proxy may open.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn incomplete_checks_stay_within_their_memory() {
+    let gateway = Gateway::start(&FaultShim::new().unwrap());
+    let process = procfs::process::Process::new(gateway.child.id() as i32).unwrap();
+    let memory = || 1024 * process.status().unwrap().rssanon.unwrap();
+    let idle = memory();
+    let mut streams = JoinSet::new();
+    for _ in 0..INCOMPLETE_CONNECTIONS {
+        let stream = TcpStream::connect(gateway.address).await.unwrap();
+        let (client, connection) = h2::client::handshake(stream).await.unwrap();
+        tokio::spawn(connection);
+        for _ in 0..INCOMPLETE_CHECKS {
+            streams.spawn(send_incomplete_check(client.clone()));
+        }
+    }
+    let (mut kept, mut peak) = (Vec::new(), 0);
+    while let Ok(Some(sent)) = tokio::time::timeout(Duration::from_millis(500), streams.join_next()).await {
+        kept.extend(sent.unwrap()); // The others were reset by the gateway.
+        peak = memory().max(peak);
+    }
+    let connection = CONNECTION_BYTES + INCOMPLETE_CHECKS as u64 * STREAM_BYTES;
+    let stated = MESSAGES_BYTES + INCOMPLETE_CONNECTIONS as u64 * connection;
+    assert!(peak - idle <= stated, "{peak} bytes, {idle} before; {stated} are stated");
+    // The gateway still answers others: a check that is complete in one frame needs no memory of that budget.
+    let stream = TcpStream::connect(gateway.address).await.unwrap();
+    let (client, connection) = h2::client::handshake(stream).await.unwrap();
+    tokio::spawn(connection);
+    let answered = tokio::time::timeout(TEST_TIMEOUT, check(client, &check_of_customer())).await;
+    assert_eq!(answered.expect("an answer"), Ok(CheckOutcome::Answered));
+}
--- a/crates/ext-authz/src/lib.rs
+++ b/crates/ext-authz/src/lib.rs
@@ -10,6 +10,7 @@
 mod acceptor;
 mod admin;
 mod attributes;
+mod budgeted_body;
 mod clients;
 mod connection;
 mod endpoint_cache;
--- a/crates/ext-authz/src/server.rs
+++ b/crates/ext-authz/src/server.rs
@@ -1,6 +1,7 @@
 //! The gRPC server for Envoy's authorisation and access log services.
 
 use crate::acceptor::Acceptor;
+use crate::budgeted_body::BudgetedBody;
 use crate::metrics::Metrics;
 use crate::services::{access_log::AccessLog, ext_authz::ExtAuthz};
 use crate::shared_task::SharedTasks;
@@ -12,13 +13,21 @@
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
+use tonic::body::Body;
 use tonic::transport::Server;
+use tower::util::MapRequestLayer;
+use weirusher_buffers::ByteBudget;
 use weirusher_net::Listener;
 
 /// Maximum size of a check message, which includes the headers and the body of the request.
 const MAX_CHECK_BYTES: usize = 256 * 1024;
 /// Maximum size of a message with access log entries.
 const MAX_ACCESS_LOG_BYTES: usize = 1024 * 1024;
+/// Memory for the incomplete messages of all connections.
+const MESSAGE_BUDGET_BYTES: usize = 64 * 1024 * 1024;
+/// Flow-control windows of a stream and of a connection: bytes that may have arrived before the gateway has read them.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
 /// Maximum size of the HTTP/2 headers of a gRPC call.
 const MAX_HEADER_BYTES: u32 = 16 * 1024;
 /// Maximum number of streams that a peer may reset before they are accepted; beyond it, the connection is
@@ -52,12 +61,19 @@
         // The graceful shutdown starts when the acceptor has ended and `incoming` is exhausted. A separate
         // shutdown signal would drop the connections that are still queued in `incoming`.
         let never = std::future::pending();
+        let budget = ByteBudget::new(MESSAGE_BUDGET_BYTES);
+        let budgeted = move |request: http::Request<Body>| {
+            request.map(|body| Body::new(BudgetedBody::new(body, MAX_ACCESS_LOG_BYTES, budget.clone())))
+        };
         let served = Server::builder()
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .max_concurrent_streams(self.max_streams_per_connection)
             .http2_max_header_list_size(MAX_HEADER_BYTES)
             .http2_max_pending_accept_reset_streams(Some(MAX_PENDING_RESETS))
             .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
             .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+            .layer(MapRequestLayer::new(budgeted))
             .add_service(AuthorizationServer::new(self.check).max_decoding_message_size(MAX_CHECK_BYTES))
             .add_service(
                 AccessLogServiceServer::new(self.access_log).max_decoding_message_size(MAX_ACCESS_LOG_BYTES),
--- a/crates/ext-authz/src/services/ext_authz.rs
+++ b/crates/ext-authz/src/services/ext_authz.rs
@@ -70,15 +70,17 @@
     async fn check(&self, request: Request<CheckRequest>) -> Result<Response<CheckResponse>, Status> {
         // If the task panics after a grant, `OutcomeWaiter` reports the grant as undelivered, and the engine
         // closes its attempt as not sent.
-        let response = weirusher_panics::catch(self.decide(&request)).await;
+        let response = weirusher_panics::catch(self.decide(request)).await;
         Ok(Response::new(response.unwrap_or_else(|Panicked| failed(CheckFailure::RequestFailed))))
     }
 }
 
 impl ExtAuthz {
     /// Decides a check, and returns the response to it.
-    async fn decide(&self, request: &Request<CheckRequest>) -> CheckResponse {
-        let check = match parse_check(&self.rules, request.get_ref().attributes.as_ref()) {
+    async fn decide(&self, request: Request<CheckRequest>) -> CheckResponse {
+        let parsed = parse_check(&self.rules, request.get_ref().attributes.as_ref());
+        drop(request); // It may be large, and the check may be pending for long.
+        let check = match parsed {
             Ok(check) => check,
             Err(error) => {
                 self.metrics.increment(|m| &m.invalid_checks);
