buffers: SegmentedBytes and SegmentedBuffer, names for what heads and messages use too

Need: Body and BodyBuffer also hold forwarded heads and gRPC messages, and stood beside http_body's Body. Change: renamed, with their file and tests; the head of a check's call in run_process stands once. Measured: tests of buffers, wire, platform, ext-authz and run_process pass; nothing behaves differently.

--- a/crates/buffers/src/lib.rs
+++ b/crates/buffers/src/lib.rs
@@ -6,10 +6,10 @@
 //! returns to the budget when the memory is freed.
 #![warn(missing_docs)]
 
-mod body;
 mod budget;
 mod read_buffer;
+mod segmented;
 
-pub use body::{BLOCK_BYTES, Body, BodyBuffer, UNBUDGETED_BYTES};
 pub use budget::{BudgetExhausted, BudgetUsage, ByteBudget, BytePermit};
 pub use read_buffer::{Growth, ReadBuffer};
+pub use segmented::{BLOCK_BYTES, SegmentedBuffer, SegmentedBytes, UNBUDGETED_BYTES};
--- a/crates/buffers/src/body.rs
+++ b/crates/buffers/src/segmented.rs
@@ -1,4 +1,4 @@
-//! The bytes of one message body, in blocks of one size.
+//! Bytes of any length in blocks of one size, such as the body of a message.
 
 use crate::budget::{BudgetExhausted, ByteBudget, BytePermit};
 use bytes::{Buf, Bytes};
@@ -7,7 +7,7 @@
 
 /// Size of a block in bytes.
 pub const BLOCK_BYTES: usize = 8 * 1024;
-/// Number of bytes at the start of a body that need no grant, so that short messages are still received while others
+/// Number of bytes at the start of a buffer that need no grant, so that short messages are still received while others
 /// use the whole budget.
 pub const UNBUDGETED_BYTES: usize = 1024;
 
@@ -26,9 +26,9 @@
     }
 }
 
-/// A body that is being received.
+/// Bytes that are being received.
 #[derive(Debug)]
-pub struct BodyBuffer {
+pub struct SegmentedBuffer {
     budget: ByteBudget,
     /// The first [`UNBUDGETED_BYTES`] bytes.
     start: Vec<u8>,
@@ -36,8 +36,8 @@
     length: usize,
 }
 
-impl BodyBuffer {
-    /// Creates an empty body. `budget` grants the memory for all but its first bytes.
+impl SegmentedBuffer {
+    /// Creates an empty buffer. `budget` grants the memory for all but its first bytes.
     pub fn new(budget: ByteBudget) -> Self {
         Self { budget, start: Vec::new(), blocks: Vec::new(), length: 0 }
     }
@@ -55,7 +55,7 @@
     /// Appends bytes.
     ///
     /// # Errors
-    /// The budget is exhausted. Some of the bytes may have been appended; the body must be given up.
+    /// The budget is exhausted. Some of the bytes may have been appended; the buffer must be given up.
     pub fn append(&mut self, mut bytes: &[u8]) -> Result<(), BudgetExhausted> {
         let unbudgeted = bytes.len().min(UNBUDGETED_BYTES - self.start.len());
         self.start.extend_from_slice(&bytes[..unbudgeted]);
@@ -80,24 +80,24 @@
         self.blocks.last_mut().ok_or(BudgetExhausted)
     }
 
-    /// Takes the body as received so far. The memory returns to the budget once all clones of it are dropped.
-    pub fn take(&mut self) -> Body {
+    /// Takes the bytes received so far. Their memory returns to the budget once all clones of them are dropped.
+    pub fn take(&mut self) -> SegmentedBytes {
         let start = Bytes::from(std::mem::take(&mut self.start));
         let blocks = std::mem::take(&mut self.blocks).into_iter().map(Bytes::from_owner);
         let segments = std::iter::once(start).filter(|start| !start.is_empty()).chain(blocks);
-        Body { segments: segments.collect(), remaining: std::mem::take(&mut self.length) }
+        SegmentedBytes { segments: segments.collect(), remaining: std::mem::take(&mut self.length) }
     }
 }
 
-/// The bytes of a body, read from its start as a [`Buf`]. Clones share the memory.
+/// Complete bytes, read from their start as a [`Buf`]. Clones share the memory.
 #[derive(Debug, Clone, Default)]
-pub struct Body {
+pub struct SegmentedBytes {
     /// The bytes that remain. No segment is empty.
     segments: VecDeque<Bytes>,
     remaining: usize,
 }
 
-impl Body {
+impl SegmentedBytes {
     /// Number of bytes that remain.
     pub fn len(&self) -> usize {
         self.remaining
@@ -115,33 +115,33 @@
         Some(segment)
     }
 
-    /// The bytes that remain, in one piece. A short body is not copied.
+    /// The bytes that remain, in one piece. Short ones are not copied.
     pub fn to_bytes(&self) -> Bytes {
         self.clone().copy_to_bytes(self.remaining)
     }
 }
 
-impl From<Bytes> for Body {
+impl From<Bytes> for SegmentedBytes {
     fn from(bytes: Bytes) -> Self {
         let remaining = bytes.len();
         Self { segments: Some(bytes).filter(|bytes| !bytes.is_empty()).into_iter().collect(), remaining }
     }
 }
 
-impl PartialEq for Body {
+impl PartialEq for SegmentedBytes {
     fn eq(&self, other: &Self) -> bool {
         self.remaining == other.remaining
             && self.segments.iter().flatten().eq(other.segments.iter().flatten())
     }
 }
 
-impl PartialEq<[u8]> for Body {
+impl PartialEq<[u8]> for SegmentedBytes {
     fn eq(&self, other: &[u8]) -> bool {
         self.segments.iter().flatten().eq(other)
     }
 }
 
-impl Buf for Body {
+impl Buf for SegmentedBytes {
     fn remaining(&self) -> usize {
         self.remaining
     }
@@ -156,7 +156,7 @@
     }
 
     fn advance(&mut self, mut count: usize) {
-        assert!(count <= self.remaining, "cannot advance past the end of a body");
+        assert!(count <= self.remaining, "cannot advance past the end");
         self.remaining -= count;
         while let Some(segment) = self.segments.front_mut() {
             if count < segment.len() {
--- a/crates/buffers/tests/buffers.rs
+++ b/crates/buffers/tests/buffers.rs
@@ -3,13 +3,14 @@
 use bytes::{Buf, Bytes};
 use proptest::prelude::*;
 use weirusher_buffers::{
-    BLOCK_BYTES, Body, BodyBuffer, BudgetExhausted, ByteBudget, Growth, ReadBuffer, UNBUDGETED_BYTES,
+    BLOCK_BYTES, BudgetExhausted, ByteBudget, Growth, ReadBuffer, SegmentedBuffer, SegmentedBytes,
+    UNBUDGETED_BYTES,
 };
 
 const GROWTH: Growth = Growth { initial: 8, max: 20 };
 
-fn body(budget: &ByteBudget, bytes: &[u8]) -> Result<Body, BudgetExhausted> {
-    let mut buffer = BodyBuffer::new(budget.clone());
+fn received(budget: &ByteBudget, bytes: &[u8]) -> Result<SegmentedBytes, BudgetExhausted> {
+    let mut buffer = SegmentedBuffer::new(budget.clone());
     buffer.append(bytes)?;
     Ok(buffer.take())
 }
@@ -30,12 +31,12 @@
 
 /// Guards against a budget that counts less than what is allocated: memory is held until the last clone is dropped.
 #[test]
-fn a_body_holds_its_grant_until_its_last_clone_is_dropped() {
+fn bytes_hold_their_grant_until_the_last_clone_is_dropped() {
     let budget = ByteBudget::new(2 * BLOCK_BYTES);
     let bytes = vec![7; UNBUDGETED_BYTES + BLOCK_BYTES + 1];
-    let first = body(&budget, &bytes).unwrap();
+    let first = received(&budget, &bytes).unwrap();
     assert_eq!(budget.usage().used, 2 * BLOCK_BYTES, "a part of a block counts as a block");
-    assert!(body(&budget, &bytes).is_err(), "the budget is exhausted");
+    assert!(received(&budget, &bytes).is_err(), "the budget is exhausted");
     let mut clone = first.clone();
     drop(first);
     clone.advance(UNBUDGETED_BYTES + BLOCK_BYTES);
@@ -45,11 +46,11 @@
 }
 
 #[test]
-fn a_short_body_needs_no_grant() {
+fn short_messages_need_no_grant() {
     let budget = ByteBudget::new(0);
-    assert_eq!(body(&budget, &[7; UNBUDGETED_BYTES]).unwrap().len(), UNBUDGETED_BYTES);
-    assert!(body(&budget, &[7; UNBUDGETED_BYTES + 1]).is_err());
-    assert!(body(&budget, b"").unwrap().is_empty());
+    assert_eq!(received(&budget, &[7; UNBUDGETED_BYTES]).unwrap().len(), UNBUDGETED_BYTES);
+    assert!(received(&budget, &[7; UNBUDGETED_BYTES + 1]).is_err());
+    assert!(received(&budget, b"").unwrap().is_empty());
 }
 
 #[test]
@@ -89,10 +90,10 @@
 
 proptest! {
     #[test]
-    fn a_body_has_the_bytes_that_were_appended(parts in proptest::collection::vec(
+    fn the_bytes_that_were_appended_are_read(parts in proptest::collection::vec(
             proptest::collection::vec(any::<u8>(), 0..9000), 0..6), skip in 0..40_000usize) {
         let budget = ByteBudget::new(64 * BLOCK_BYTES);
-        let mut buffer = BodyBuffer::new(budget.clone());
+        let mut buffer = SegmentedBuffer::new(budget.clone());
         for part in &parts {
             buffer.append(part).unwrap();
         }
@@ -105,7 +106,7 @@
         }
         prop_assert_eq!((&joined[..], pieces.len()), (&whole[..], 0));
         prop_assert!(body == whole[..]);
-        prop_assert!(body == Body::from(Bytes::from(whole.clone())));
+        prop_assert!(body == SegmentedBytes::from(Bytes::from(whole.clone())));
         let mut slices = [std::io::IoSlice::new(&[]); 16];
         let count = body.chunks_vectored(&mut slices);
         let written: Vec<u8> = slices[..count].iter().flat_map(|slice| slice.to_vec()).collect();
--- a/crates/cli/tests/run_process.rs
+++ b/crates/cli/tests/run_process.rs
@@ -114,20 +114,25 @@
     }
 }
 
-/// Sends one check by gRPC. An error means that the connection accepts no further checks.
-async fn check(client: SendRequest<Bytes>, message: &CheckRequest) -> Result<CheckOutcome, CheckOutcome> {
-    let request = http::Request::post("http://x/envoy.service.auth.v3.Authorization/Check")
+/// The head of a check's gRPC call.
+fn check_head() -> http::Request<()> {
+    http::Request::post("http://x/envoy.service.auth.v3.Authorization/Check")
         .header("content-type", "application/grpc")
         .header("te", "trailers")
         .body(())
-        .unwrap();
+        .unwrap()
+}
+
+/// Sends one check by gRPC. An error means that the connection accepts no further checks.
+async fn check(client: SendRequest<Bytes>, message: &CheckRequest) -> Result<CheckOutcome, CheckOutcome> {
     let mut frame = vec![0];
     let message = message.encode_to_vec();
     frame.extend_from_slice(&(message.len() as u32).to_be_bytes());
     frame.extend_from_slice(&message);
     // A check that could not be sent needs no answer.
     let mut client = client.ready().await.map_err(|_| CheckOutcome::NotProcessed)?;
-    let (response, mut body) = client.send_request(request, false).map_err(|_| CheckOutcome::NotProcessed)?;
+    let (response, mut body) =
+        client.send_request(check_head(), false).map_err(|_| CheckOutcome::NotProcessed)?;
     if let Err(error) = body.send_data(frame.into(), true) {
         return Err(outcome_of_error(&error));
     }
@@ -294,14 +299,9 @@
 
 /// Sends the first part of a check. Returns the stream, which stays open while the gateway keeps it.
 async fn send_incomplete_check(client: SendRequest<Bytes>) -> Result<h2::SendStream<Bytes>, h2::Error> {
-    let request = http::Request::post("http://x/envoy.service.auth.v3.Authorization/Check")
-        .header("content-type", "application/grpc")
-        .header("te", "trailers")
-        .body(())
-        .unwrap();
     let mut prefix = vec![0];
     prefix.extend_from_slice(&ANNOUNCED_BYTES.to_be_bytes());
-    let (_response, mut body) = client.ready().await?.send_request(request, false)?;
+    let (_response, mut body) = client.ready().await?.send_request(check_head(), false)?;
     let mut unsent = Bytes::from([prefix, vec![0; SENT_BYTES]].concat());
     while !unsent.is_empty() {
         body.reserve_capacity(unsent.len());
--- a/crates/ext-authz/src/budgeted_body.rs
+++ b/crates/ext-authz/src/budgeted_body.rs
@@ -9,7 +9,7 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use tonic::Status;
-use weirusher_buffers::{Body as Message, BodyBuffer, BudgetExhausted, ByteBudget};
+use weirusher_buffers::{BudgetExhausted, ByteBudget, SegmentedBuffer, SegmentedBytes};
 
 /// Bytes ahead of a message: a flag and the message's length.
 const PREFIX_BYTES: usize = 5;
@@ -20,17 +20,17 @@
     /// The longest message that is collected.
     max_bytes: usize,
     /// The bytes of the incomplete message.
-    bytes: BodyBuffer,
+    bytes: SegmentedBuffer,
     /// Its prefix, as far as that was received.
     prefix: Vec<u8>,
     /// Number of its bytes that are still to come, once the prefix is complete.
     missing: usize,
-    complete: VecDeque<Message>,
+    complete: VecDeque<SegmentedBytes>,
 }
 
 impl MessageCollector {
     fn new(max_bytes: usize, budget: ByteBudget) -> Self {
-        let (bytes, prefix) = (BodyBuffer::new(budget), Vec::new());
+        let (bytes, prefix) = (SegmentedBuffer::new(budget), Vec::new());
         Self { max_bytes, bytes, prefix, missing: 0, complete: VecDeque::new() }
     }
 
--- a/crates/node/src/connection/read.rs
+++ b/crates/node/src/connection/read.rs
@@ -3,7 +3,7 @@
 use super::{Connection, Progress};
 use crate::metrics::CloseReason;
 use bytes::Buf;
-use weirusher_buffers::{Body, BudgetExhausted};
+use weirusher_buffers::{BudgetExhausted, SegmentedBytes};
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::client::{
     CONTINUE, ClientMessage, ClientRequest, MAX_BODY_BYTES, RequestError, read_head,
@@ -89,7 +89,7 @@
         }
     }
 
-    async fn read_body(&mut self, request: &mut ClientRequest) -> Result<Body, ReadError> {
+    async fn read_body(&mut self, request: &mut ClientRequest) -> Result<SegmentedBytes, ReadError> {
         let budget = self.slot.node.memory.requests.clone();
         let mut reader = BodyReader::new(request.framing, MAX_BODY_BYTES, budget);
         loop {
--- a/crates/node/src/connection/respond.rs
+++ b/crates/node/src/connection/respond.rs
@@ -7,7 +7,7 @@
 use bytes::{Buf, BytesMut};
 use std::time::Duration;
 use weirusher::Reason;
-use weirusher_buffers::Body;
+use weirusher_buffers::SegmentedBytes;
 use weirusher_core::Outcome;
 use weirusher_platform::client::{
     RequestError, write_error, write_failed, write_readiness, write_rejected, write_served, write_unavailable,
@@ -49,15 +49,15 @@
             }
             ClientResponse::Outcome(Outcome::Rejected { reason: Reason::Stopping, .. }) => {
                 write_unavailable(&mut head, close);
-                Body::default()
+                SegmentedBytes::default()
             }
             ClientResponse::Outcome(Outcome::Rejected { retry_after, .. }) => {
                 write_rejected(&mut head, retry_after, close);
-                Body::default()
+                SegmentedBytes::default()
             }
             ClientResponse::Outcome(Outcome::Failed { .. }) => {
                 write_failed(&mut head, close);
-                Body::default()
+                SegmentedBytes::default()
             }
         };
         self.respond(head.chain(body)).await
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 use weirusher::{BackendId, RequestId};
-use weirusher_buffers::Body;
+use weirusher_buffers::SegmentedBytes;
 use weirusher_clock::Clock;
 use weirusher_core::{
     ConnectionPool, ConnectionSlots, EngineError, Outcome, ProxyCore, ProxyOutput, SendError, SendLimits,
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub enum ClientResponse {
     /// The body of a backend's response.
-    Served(Body),
+    Served(SegmentedBytes),
     /// The gateway's own response, without a backend.
     Outcome(Outcome),
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use weirusher::{EndpointListKind, LoadReport, Reason, RequestId, Status};
-use weirusher_buffers::Body;
+use weirusher_buffers::SegmentedBytes;
 use weirusher_core::{IncomingRequest, Outcome, RequestStatus, Shutdown};
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::list::ListUpdate;
@@ -16,7 +16,7 @@
     pub status: Status,
     pub load: LoadReport,
     /// The body of the response, if it was received completely.
-    pub response: Option<Body>,
+    pub response: Option<SegmentedBytes>,
 }
 
 impl AttemptResult {
--- a/crates/platform/src/backend.rs
+++ b/crates/platform/src/backend.rs
@@ -4,7 +4,7 @@
 use crate::response::Response;
 use bytes::{Buf, Bytes};
 use weirusher::{LoadReport, Status};
-use weirusher_buffers::{Body, BodyBuffer, BudgetExhausted, ByteBudget};
+use weirusher_buffers::{BudgetExhausted, ByteBudget, SegmentedBuffer, SegmentedBytes};
 use weirusher_wire::head::RequestHead;
 
 /// Longest load report that is parsed, in bytes.
@@ -19,9 +19,9 @@
 pub struct ForwardedRequest {
     /// The request line and the headers that are the same in every attempt. It may be as long as the client's
     /// head, so its memory is granted like that of the body.
-    head: Body,
+    head: SegmentedBytes,
     is_get: bool,
-    body: Body,
+    body: SegmentedBytes,
 }
 
 impl ForwardedRequest {
@@ -31,17 +31,17 @@
     /// # Errors
     /// The budget is exhausted.
     pub fn new(head: &RequestHead<'_, '_>, id: &str, budget: ByteBudget) -> Result<Self, BudgetExhausted> {
-        let mut forwarded = BodyBuffer::new(budget);
+        let mut forwarded = SegmentedBuffer::new(budget);
         for part in
             [head.method, " ", head.target, " HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: ", id, "\r\n"]
         {
             forwarded.append(part.as_bytes())?;
         }
-        Ok(Self { head: forwarded.take(), is_get: head.method == "GET", body: Body::default() })
+        Ok(Self { head: forwarded.take(), is_get: head.method == "GET", body: SegmentedBytes::default() })
     }
 
     /// Adds the body, which is forwarded as received.
-    pub fn with_body(self, body: Body) -> Self {
+    pub fn with_body(self, body: SegmentedBytes) -> Self {
         Self { body, ..self }
     }
 
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -1,7 +1,7 @@
 //! An incremental reader for the responses of backends, the counter and discovery.
 
 use bytes::Buf;
-use weirusher_buffers::{Body, ByteBudget};
+use weirusher_buffers::{ByteBudget, SegmentedBytes};
 use weirusher_wire::body::{BodyReader, Framing};
 use weirusher_wire::head::{EMPTY_HEADERS, HeadSearch, parse_response};
 use weirusher_wire::http1::HttpError;
@@ -15,7 +15,7 @@
     /// The HTTP status code.
     pub status: u16,
     /// The complete body, without transfer coding.
-    pub body: Body,
+    pub body: SegmentedBytes,
     /// Whether the backend states that it did not execute the request (`X-Never-Ran: 1`).
     pub not_executed: bool,
     /// The unparsed load report of the backend.
@@ -106,7 +106,7 @@
         };
         let response = Response {
             status: head.status,
-            body: Body::default(),
+            body: SegmentedBytes::default(),
             not_executed: fields.single("X-Never-Ran") == Ok(Some("1")),
             load_report: fields.single("Endpoint-Load-Metrics").ok().flatten().map(str::to_string),
             closes_connection: fields.closes_connection() || framing == Framing::UntilClose,
@@ -115,7 +115,7 @@
         Ok(())
     }
 
-    fn complete(&mut self, body: Body) -> Option<Response> {
+    fn complete(&mut self, body: SegmentedBytes) -> Option<Response> {
         self.interim = 0;
         self.head.take().map(|(response, _)| Response { body, ..response })
     }
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -3,7 +3,7 @@
 use crate::head::HeadSearch;
 use crate::http1::HttpError;
 use bytes::Buf;
-use weirusher_buffers::{Body, BodyBuffer, ByteBudget};
+use weirusher_buffers::{ByteBudget, SegmentedBuffer, SegmentedBytes};
 
 /// Maximum length of a chunk's size line in bytes, chunk extensions included.
 const MAX_SIZE_LINE: usize = 1024;
@@ -37,7 +37,7 @@
     max_length: usize,
     chunk: ChunkState,
     /// What was read so far.
-    body: BodyBuffer,
+    body: SegmentedBuffer,
     trailers: HeadSearch,
 }
 
@@ -46,7 +46,7 @@
     /// [`Framing::Length`] the caller must have checked that the length is no more than `max_length`; it is not
     /// checked here.
     pub fn new(framing: Framing, max_length: usize, budget: ByteBudget) -> Self {
-        let (body, trailers) = (BodyBuffer::new(budget), HeadSearch::default());
+        let (body, trailers) = (SegmentedBuffer::new(budget), HeadSearch::default());
         Self { framing, max_length, chunk: ChunkState::SizeLine, body, trailers }
     }
 
@@ -85,7 +85,7 @@
     ///
     /// # Errors
     /// A chunk is malformed, the body is too long, or the budget is exhausted.
-    pub fn read(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
+    pub fn read(&mut self, src: &mut impl Buf) -> Result<Option<SegmentedBytes>, HttpError> {
         match self.framing {
             Framing::Chunked => self.read_chunked(src),
             Framing::Length(_) => {
@@ -98,11 +98,11 @@
 
     /// Called when the peer has closed the connection: returns the body if its framing is [`Framing::UntilClose`].
     /// `None` means that the body is incomplete.
-    pub fn finish(&mut self) -> Option<Body> {
+    pub fn finish(&mut self) -> Option<SegmentedBytes> {
         (self.framing == Framing::UntilClose).then(|| self.body.take())
     }
 
-    fn read_chunked(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
+    fn read_chunked(&mut self, src: &mut impl Buf) -> Result<Option<SegmentedBytes>, HttpError> {
         loop {
             match self.chunk {
                 ChunkState::SizeLine => match take_size_line(src)? {
@@ -131,7 +131,7 @@
 
     /// Reads the trailer section after the last chunk. Trailers are discarded. They may be no longer than a
     /// message head.
-    fn read_trailers(&mut self, src: &mut impl Buf) -> Result<Option<Body>, HttpError> {
+    fn read_trailers(&mut self, src: &mut impl Buf) -> Result<Option<SegmentedBytes>, HttpError> {
         let end = match src.chunk().get(..2) {
             None => return Ok(None),
             Some(b"\r\n") => 2,
