--- a/crates/cli/tests/endpoint_cache.rs
+++ b/crates/cli/tests/endpoint_cache.rs
@@ -13,7 +13,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{Endpoint, Lifecycle, Location};
 use weirusher_fakes::{Discovery, Recorder};
 use weirusher_fault_shim::{Action, Call, Errno, Fault, FaultShim};
 
@@ -112,8 +112,8 @@
 
 /// An endpoint that is running.
 fn running_endpoint(address: &str) -> Endpoint {
-    let (zone, cell, started, lifecycle) = (0, 0, 0.0, Lifecycle::Running);
-    Endpoint { id: address.into(), zone, cell, started, lifecycle }
+    let location = Location::from_numbers(0, 0);
+    Endpoint { id: address.into(), location, started: 0.0, lifecycle: Lifecycle::Running }
 }
 
 /// The addresses in a list file, which must be complete.
--- a/crates/cli/tests/gateway_kills.rs
+++ b/crates/cli/tests/gateway_kills.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{Endpoint, Lifecycle, Location};
 use weirusher_core::{Key, Keyring};
 use weirusher_fakes::{
     AuditParameters, BehaviourProfile, CaptureEvent, ClientOutcome, ClientRequest, Counter, Discovery,
@@ -97,8 +97,7 @@
         let backend = FakeBackend::start(ANY_PORT, spec, recorder.clone(), 1).await.unwrap();
         discovery.set(vec![Endpoint {
             id: backend.address.to_string().into(),
-            zone: 0,
-            cell: 0,
+            location: Location::from_numbers(0, 0),
             started: 0.0,
             lifecycle: Lifecycle::Running,
         }]);
--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod discovery;
 mod graceful_shutdown;
 mod idle_connections;
+mod locations;
 mod log;
 mod resource_limits;
 mod scheduling_delay;
--- a/crates/config/src/upstream.rs
+++ b/crates/config/src/upstream.rs
@@ -40,8 +40,6 @@
     pub cluster: String,
     /// The file that caches the last endpoint list across restarts.
     pub cache_file: Option<PathBuf>,
-    /// Names of the zones; the index of a zone is its number.
-    pub zones: Vec<String>,
 }
 
 impl DiscoveryConfig {
@@ -57,10 +55,8 @@
         let address = address(&mut table, "address", None);
         let cluster = table.string("cluster").map_or_else(|| DEFAULT_CLUSTER.to_string(), |name| name.value);
         let cache_file = table.string("keep").map(|path| PathBuf::from(path.value));
-        let zones = table.string("zones").map_or_else(Vec::new, |names| {
-            names.value.split(',').map(|name| name.trim().to_string()).collect()
-        });
+        let _ = table.string("zones"); // Files of older versions name the zones here.
         table.finish();
-        Some(Self { address: address?, cluster, cache_file, zones })
+        Some(Self { address: address?, cluster, cache_file })
     }
 }
--- a/crates/core/tests/idempotency_window.rs
+++ b/crates/core/tests/idempotency_window.rs
@@ -1,7 +1,9 @@
-//! Retries with an idempotency key: none may be accepted by a backend after the backends have discarded the
-//! key.
+//! Retries with an idempotency key: none may be accepted by a backend that does not know the key, or no longer
+//! does.
 
-use weirusher::{Class, DedupScope, Endpoint, EndpointListKind, Idempotency, Plan, Settings, Status};
+use weirusher::{
+    Class, DedupScope, Endpoint, EndpointListKind, Idempotency, Location, Plan, Settings, Status, ZoneId,
+};
 use weirusher_core::{
     Check, CheckOutcome, Completion, Engine, EngineOutput, Grant, InstanceRange, Key, Keyring, Report,
     TicketRejection, TicketValidator,
@@ -121,3 +123,20 @@
     report_reset(&mut idempotent, START + WINDOW + 0.2, &first.ticket);
     assert_ticket_lasts_to_deadline(&mut idempotent, START + WINDOW + 0.3, Some(&first.ticket));
 }
+
+/// Guards against a ticket for another zone: a list without the zone of the first attempt, as while its backends are
+/// replaced, gave the zone's number to another one.
+#[test]
+fn a_request_of_a_zone_that_left_the_list_gets_no_ticket_for_another_zone() {
+    let mut engine = engine(Idempotency::Keyed { scope: DedupScope::Zone, window: 5.0 });
+    let backend = |port: u32, zone| Endpoint {
+        location: Location { zone: ZoneId::from_name(zone), cell: None },
+        ..Endpoint::warm(format!("127.0.0.1:{port}"))
+    };
+    engine.handle_endpoint_list(START, EndpointListKind::Snapshot, vec![backend(1, "hall-a")]);
+    let first = grant(&mut engine, START, None);
+    engine.handle_endpoint_list(START + 0.1, EndpointListKind::Snapshot, vec![backend(2, "hall-b")]);
+    report_reset(&mut engine, START + 0.2, &first.ticket);
+    let outcome = check(&mut engine, START + 0.3, Some(&first.ticket));
+    assert!(matches!(outcome, CheckOutcome::Failed(_)), "{outcome:?}");
+}
--- a/crates/ext-authz/src/clients/discovery.rs
+++ b/crates/ext-authz/src/clients/discovery.rs
@@ -144,7 +144,7 @@
         let cluster = &self.config.cluster;
         let assignment = assignments.iter().find(|a| a.cluster_name == *cluster);
         let assignment = assignment.ok_or_else(|| ResponseError::MissingCluster(cluster.clone()))?;
-        let list = eds::decode(assignment, &self.config.zones);
+        let list = eds::decode(assignment);
         self.metrics.increment(|m| &m.endpoint_lists);
         let unusable = list.invalid + list.duplicate + list.excess;
         if unusable > 0 {
--- a/crates/ext-authz/src/endpoint_cache.rs
+++ b/crates/ext-authz/src/endpoint_cache.rs
@@ -10,12 +10,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::sync::watch;
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{CellId, Endpoint, Lifecycle, Location, ZoneId};
 use weirusher_wire::eds;
 
 /// Delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
-
+/// Stands for an unknown zone in the file, whose format has a number for each endpoint.
+const UNKNOWN_ZONE: u32 = u32::MAX;
 /// Time limit for loading the cached list at startup.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -23,23 +24,33 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct CachedEndpoint {
     address: String,
+    /// The number of its zone, or [`UNKNOWN_ZONE`].
     zone: u32,
+    /// The number of its cell. Files of older versions have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    cell: Option<u32>,
     /// When the backend was last started, in Unix seconds; 0 if long ago.
     started: f64,
 }
 
 impl From<&Endpoint> for CachedEndpoint {
     fn from(endpoint: &Endpoint) -> Self {
-        Self { address: endpoint.id.to_string(), zone: endpoint.zone, started: endpoint.started }
+        let Location { zone, cell } = endpoint.location;
+        Self {
+            address: endpoint.id.to_string(),
+            zone: zone.map_or(UNKNOWN_ZONE, ZoneId::number),
+            cell: cell.map(CellId::number),
+            started: endpoint.started,
+        }
     }
 }
 
 impl From<CachedEndpoint> for Endpoint {
     fn from(cached: CachedEndpoint) -> Self {
+        let zone = (cached.zone != UNKNOWN_ZONE).then(|| ZoneId::from_number(cached.zone));
         Self {
             id: cached.address.into(),
-            zone: cached.zone,
-            cell: 0,
+            location: Location { zone, cell: cached.cell.map(CellId::from_number) },
             started: cached.started,
             lifecycle: Lifecycle::Running,
         }
--- a/crates/ext-authz/src/endpoint_cache/tests.rs
+++ b/crates/ext-authz/src/endpoint_cache/tests.rs
@@ -15,8 +15,7 @@
     let endpoints = load(&path);
     let endpoint = |id: &str, zone, started| Endpoint {
         id: id.into(),
-        zone,
-        cell: 0,
+        location: Location { zone: Some(ZoneId::from_number(zone)), cell: None },
         started,
         lifecycle: Lifecycle::Running,
     };
--- a/crates/fakes/src/discovery.rs
+++ b/crates/fakes/src/discovery.rs
@@ -181,7 +181,7 @@
 }
 
 fn response(state: &State) -> DiscoveryResponse {
-    let list = eds::encode(CLUSTER, &state.endpoints, &[]);
+    let list = eds::encode(CLUSTER, &state.endpoints);
     let version = state.version.to_string();
     DiscoveryResponse {
         version_info: version.clone(),
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -1,7 +1,8 @@
 //! One attempt of a request: acquires a connection to the backend, writes the request and reads the response.
 
 use crate::backend_connection::{BackendConnection, timeout_duration};
-use crate::context::{BackendEndpoint, NodeContext};
+use crate::backends::BackendEndpoint;
+use crate::context::NodeContext;
 use crate::events::AttemptResult;
 use crate::log::log_step;
 use crate::receive::receive;
@@ -33,8 +34,7 @@
     pub id: RequestId,
     /// Its number within the request.
     pub number: u32,
-    /// The backend and its address; `None` if the list has no address for it, as it is draining or was
-    /// removed.
+    /// The process of the backend; `None` if the list has none that accepts new requests.
     pub endpoint: Option<BackendEndpoint>,
     /// Seconds within which the last byte must be written. Later the idempotency window may be over, and the
     /// request could be executed a second time.
--- a/crates/node/src/backend_connection.rs
+++ b/crates/node/src/backend_connection.rs
@@ -1,6 +1,7 @@
 //! Connections to backends, taken from the pool or newly opened.
 
-use crate::context::{BackendEndpoint, NodeContext};
+use crate::backends::BackendEndpoint;
+use crate::context::NodeContext;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
@@ -57,11 +58,12 @@
         }
         let mut connection = Self::new(node, None);
         let limit = timeout_duration(timeout.min(node.connect_timeout));
-        let stream = match tokio::time::timeout(limit, weirusher_net::connect(endpoint.address)).await {
-            Ok(Ok(stream)) => stream,
-            Err(_) if timeout < node.connect_timeout => return Err(Status::NotSent),
-            _ => return Err(Status::ConnectFailed),
-        };
+        let stream =
+            match tokio::time::timeout(limit, weirusher_net::connect(endpoint.instance.address)).await {
+                Ok(Ok(stream)) => stream,
+                Err(_) if timeout < node.connect_timeout => return Err(Status::NotSent),
+                _ => return Err(Status::ConnectFailed),
+            };
         connection.stream = Some(stream);
         Ok(connection)
     }
--- a/crates/node/src/connection/tests.rs
+++ b/crates/node/src/connection/tests.rs
@@ -4,7 +4,7 @@
 use super::Connection;
 use crate::client_slot::ClientSlot;
 use crate::client_socket::ClientSocket;
-use crate::context::{BackendEndpoint, NodeContext};
+use crate::context::NodeContext;
 use socket2::SockRef;
 use std::future::Future;
 use std::io::Write;
@@ -60,10 +60,11 @@
     let stream = TcpStream::connect(address).await.unwrap();
     let (backend, _) = listener.accept().unwrap();
     backend.set_nonblocking(true).unwrap();
-    let pool = &mut node.state.borrow_mut().pool;
+    let state = &mut *node.state.borrow_mut();
+    let endpoint = state.backends.endpoint(&"s-0".into()).unwrap();
+    let pool = &mut state.pool;
     let _ = pool.reserve();
     // Idle for longer than the pool's delay before a connection is reused.
-    let endpoint = BackendEndpoint { name: "s-0".into(), address };
     assert!(pool.put(node.now() - 1.0, endpoint, stream).is_none());
     backend
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -2,6 +2,7 @@
 //!
 //! All tasks run on one thread. A borrow of [`NodeState`] is never held across an await.
 
+use crate::backends::{BackendEndpoint, Backends};
 use crate::budget::ResourceBudget;
 use crate::client_socket::ClientSocket;
 use crate::close_signal::CloseSignal;
@@ -11,12 +12,11 @@
 use crate::wakeup::Wakeup;
 use std::cell::Cell;
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
-use weirusher::{BackendId, RequestId};
+use weirusher::RequestId;
 use weirusher_buffers::SegmentedBytes;
 use weirusher_clock::Clock;
 use weirusher_core::{
@@ -31,13 +31,6 @@
 /// race with the backend closing the connection.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
 
-/// A backend and its address.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct BackendEndpoint {
-    pub name: BackendId,
-    pub address: SocketAddr,
-}
-
 /// The response to a client.
 #[derive(Debug)]
 pub enum ClientResponse {
@@ -57,7 +50,8 @@
 
 /// An attempt in flight.
 pub struct RunningAttempt {
-    pub backend: BackendId,
+    /// `None` if its backend accepts no new requests.
+    pub endpoint: Option<BackendEndpoint>,
     pub task: AbortHandle,
     /// Whether the first byte was written. After that the attempt ends with its response or timeout, even if
     /// the backend starts to drain.
@@ -84,8 +78,8 @@
     /// Attempts in flight, by request and number.
     pub attempts: HashMap<(RequestId, u32), RunningAttempt>,
     pub pool: ConnectionPool<BackendEndpoint, TcpStream>,
-    /// Addresses of the backends that accept new requests.
-    pub addresses: HashMap<BackendId, SocketAddr>,
+    /// The backends that accept new requests.
+    pub backends: Backends,
     pub slots: ConnectionSlots,
     pub last_slot: SlotId,
     pub close_signals: HashMap<SlotId, Rc<CloseSignal>>,
@@ -156,7 +150,7 @@
                     pending: HashMap::new(),
                     attempts: HashMap::new(),
                     pool: ConnectionPool::new(budget.backend_connections, pool_timeout),
-                    addresses: HashMap::new(),
+                    backends: Backends::default(),
                     slots: ConnectionSlots::new(budget.client_connections),
                     last_slot: 0,
                     close_signals: HashMap::new(),
@@ -206,7 +200,7 @@
         endpoint: &BackendEndpoint,
     ) -> Result<SendLimits, SendError> {
         let state = self.state.borrow();
-        let backend_available = state.addresses.get(&endpoint.name) == Some(&endpoint.address);
+        let backend_available = state.backends.accepts(endpoint);
         let limits = state.proxy.check_send(self.now(), id, attempt, backend_available)?;
         let pending = state.pending.get(id).ok_or(SendError::NotPending)?;
         if pending.client.is_disconnected() { Err(SendError::ClientGone) } else { Ok(limits) }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -41,21 +41,14 @@
 }
 
 impl DiscoveryClient {
-    /// Watches the endpoint list of the discovery service at `address` until the task is aborted. `zones` are
-    /// the names of the zones in the settings.
-    pub async fn run(
-        node: Rc<NodeContext>,
-        address: SocketAddr,
-        zones: Vec<String>,
-        timing: PollTiming,
-        seed: u64,
-    ) {
+    /// Watches the endpoint list of the discovery service at `address` until the task is aborted.
+    pub async fn run(node: Rc<NodeContext>, address: SocketAddr, timing: PollTiming, seed: u64) {
         let (started, receiver) = unbounded_channel();
         let client = Self {
             watch: EndpointWatch::new(node.now(), timing, seed),
             node,
             address,
-            list: ListState::new(zones),
+            list: ListState::default(),
             polls: JoinSet::new(),
             tasks: HashMap::new(),
             started,
@@ -160,7 +153,7 @@
             tracing::info!("discovery responds again");
         }
         // Most responses contain no change; they are not passed to the policy.
-        if update.kind != EndpointListKind::Delta || !update.addresses.is_empty() {
+        if update.kind != EndpointListKind::Delta || !update.backends.is_empty() {
             self.node.handle_endpoint_list(update);
         } else {
             self.node.handle_endpoint_list_confirmed();
--- a/crates/node/src/effects.rs
+++ b/crates/node/src/effects.rs
@@ -1,7 +1,7 @@
 //! Carries out the outputs of the proxy core.
 
 use crate::attempt::{self, Attempt};
-use crate::context::{BackendEndpoint, ClientResponse, CounterCall, NodeContext, NodeState, RunningAttempt};
+use crate::context::{ClientResponse, CounterCall, NodeContext, NodeState, RunningAttempt};
 use crate::log::log_step;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -79,19 +79,19 @@
     fn start_attempt(self: &Rc<Self>, state: &mut NodeState, new: NewAttempt) {
         let NewAttempt { request: id, number, backend, timeout, write_timeout } = new;
         let Some(forwarded) = state.pending.get(&id).map(|pending| pending.forwarded.clone()) else { return };
-        let address = state.addresses.get(&backend).copied();
+        let endpoint = state.backends.endpoint(&backend);
         log_step!(self, %id, attempt = number, %backend, timeout, write_timeout, "attempt started");
         let write_started = Rc::new(Cell::new(false));
         let attempt = Attempt {
             id: id.clone(),
             number,
-            endpoint: address.map(|address| BackendEndpoint { name: backend.clone(), address }),
+            endpoint: endpoint.clone(),
             write_timeout,
             forwarded,
             write_started: write_started.clone(),
         };
         let task = tokio::task::spawn_local(attempt::run(self.clone(), attempt)).abort_handle();
-        state.attempts.insert((id, number), RunningAttempt { backend, task, write_started });
+        state.attempts.insert((id, number), RunningAttempt { endpoint, task, write_started });
     }
 
     /// Aborts the task of an attempt, which closes its connection.
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -5,7 +5,7 @@
 use crate::log::log_step;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use weirusher::{EndpointListKind, LoadReport, Reason, RequestId, Status};
+use weirusher::{LoadReport, Reason, RequestId, Status};
 use weirusher_buffers::SegmentedBytes;
 use weirusher_core::{IncomingRequest, Outcome, RequestStatus, Shutdown};
 use weirusher_platform::backend::ForwardedRequest;
@@ -108,9 +108,9 @@
         self.carry_out_outputs();
     }
 
-    /// Applies an endpoint list. Idle connections to backends that drain or have a new address are closed.
-    /// Attempts to backends that accept no new requests end, unless they have started to write.
-    pub fn handle_endpoint_list(self: &Rc<Self>, update: ListUpdate) {
+    /// Applies an endpoint list. Idle connections to processes that drain or were replaced are closed. Attempts
+    /// to them end, unless they have started to write.
+    pub fn handle_endpoint_list(self: &Rc<Self>, mut update: ListUpdate) {
         if !update.problems.is_empty() {
             let entries: Vec<String> = update.problems.iter().map(ToString::to_string).collect();
             tracing::warn!(
@@ -120,18 +120,10 @@
         }
         {
             let state = &mut *self.state.borrow_mut();
-            if update.kind != EndpointListKind::Delta {
-                state.addresses.clear();
-            }
-            for endpoint in update.addresses {
-                match endpoint.address {
-                    Some(address) => state.addresses.insert(endpoint.name, address),
-                    None => state.addresses.remove(&endpoint.name),
-                };
-            }
+            state.backends.apply(&mut update);
             let now = self.now();
-            let addresses = &state.addresses;
-            state.pool.evict(now, |endpoint| addresses.get(&endpoint.name) == Some(&endpoint.address));
+            let backends = &state.backends;
+            state.pool.evict(now, |endpoint| backends.accepts(endpoint));
             state.proxy.handle_endpoint_list(now, update.kind, update.endpoints);
             state.cancel_unsent_attempts(now);
         }
@@ -166,11 +158,14 @@
 }
 
 impl NodeState {
-    /// Ends the attempts to backends that accept no new requests, unless they have started to write.
+    /// Ends the attempts to processes that accept no new requests, unless they have started to write.
     fn cancel_unsent_attempts(&mut self, now: f64) {
-        let addresses = &self.addresses;
+        let backends = &self.backends;
+        let accepts = |running: &RunningAttempt| {
+            running.endpoint.as_ref().is_some_and(|endpoint| backends.accepts(endpoint))
+        };
         let is_unsent = |(_, running): &(&(RequestId, u32), &mut RunningAttempt)| {
-            !running.write_started.get() && !addresses.contains_key(&running.backend)
+            !running.write_started.get() && !accepts(running)
         };
         let unsent: Vec<_> = self.attempts.iter_mut().filter(is_unsent).map(|(key, _)| key.clone()).collect();
         for key in unsent {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod attempt;
 mod backend_connection;
+mod backends;
 mod budget;
 mod client_slot;
 mod client_socket;
--- a/crates/node/src/services.rs
+++ b/crates/node/src/services.rs
@@ -34,8 +34,8 @@
     fn start_discovery(node: &Rc<NodeContext>, config: &Config) -> AbortHandle {
         let platform = &config.platform;
         let timing = PollTiming::new(platform.drain_grace, platform.settings.polls_endpoints);
-        let (zones, seed) = (platform.zones.clone(), config.seed);
-        let client = DiscoveryClient::run(node.clone(), config.discovery, zones, timing, seed);
+        let seed = config.seed;
+        let client = DiscoveryClient::run(node.clone(), config.discovery, timing, seed);
         spawn_shared(node, "discovery", client).abort_handle()
     }
 
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -98,8 +98,7 @@
         let file: ConfigFile = serde_json::from_slice(text)?;
         let platform = PlatformSettings::read(&file.settings)?;
         let cached_list = file.cached_list.map(|list| {
-            ListMessage::parse(list.get().as_bytes())?
-                .into_update(&platform.zones, EndpointListKind::StaleSnapshot)
+            ListMessage::parse(list.get().as_bytes())?.into_update(EndpointListKind::StaleSnapshot)
         });
         Ok(Self {
             name: file.name,
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -9,7 +9,7 @@
 use entry::{Entry, MAX_NAME_BYTES, backend_name};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use weirusher::{BackendId, Endpoint, EndpointListKind, Lifecycle};
+use weirusher::{BackendId, Endpoint, EndpointListKind, Lifecycle, Location};
 
 /// Maximum number of entries in a list.
 const MAX_ENTRIES: usize = 4096;
@@ -46,14 +46,26 @@
     NoValidEntry,
 }
 
-/// Where a backend accepts new requests.
+/// One process of a backend, as an entry describes it. A process that replaces another one under its name, at its
+/// address even, differs in its location or in its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct BackendInstance {
+    /// The address, which may later belong to another backend.
+    pub address: SocketAddr,
+    /// Where it runs.
+    pub location: Location,
+    /// When it started, in Unix milliseconds; 0 if long ago.
+    pub started_ms: u64,
+}
+
+/// A backend in the list.
 #[derive(Debug, Clone, PartialEq)]
-pub struct EndpointAddress {
+pub struct ListedBackend {
     /// The name of the backend.
     pub name: BackendId,
-    /// The address, which may later belong to another backend. `None` if the backend is draining or was
-    /// removed, or if its entry is invalid.
-    pub address: Option<SocketAddr>,
+    /// The process that accepts new requests. `None` if the backend is draining or was removed, or if its entry is
+    /// invalid.
+    pub instance: Option<BackendInstance>,
 }
 
 /// The content of a list, ready to be applied.
@@ -63,8 +75,8 @@
     pub kind: EndpointListKind,
     /// The entries, for the policy.
     pub endpoints: Vec<Endpoint>,
-    /// The addresses of the entries.
-    pub addresses: Vec<EndpointAddress>,
+    /// The backends of the entries.
+    pub backends: Vec<ListedBackend>,
     /// The first few entries that are invalid, or were accepted only in part.
     pub problems: Vec<EntryProblem>,
 }
@@ -73,18 +85,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct ListState {
     version: Option<u64>,
-    zones: Vec<String>,
 }
 
 impl ListState {
     /// The request target of the complete list.
     pub const COMPLETE_LIST_TARGET: &str = "/api/targets";
 
-    /// Creates the state without a list. `zones` are the names of the zones in the settings.
-    pub fn new(zones: Vec<String>) -> Self {
-        Self { version: None, zones }
-    }
-
     /// The version of the list in use, if any.
     pub fn version(&self) -> Option<u64> {
         self.version
@@ -114,7 +120,7 @@
             return Ok(None);
         }
         let version = message.version;
-        let update = message.into_update(&self.zones, EndpointListKind::Snapshot)?;
+        let update = message.into_update(EndpointListKind::Snapshot)?;
         self.version = Some(version);
         Ok(Some(update))
     }
@@ -134,21 +140,17 @@
     ///
     /// # Errors
     /// The list has too many entries, or has entries of which none is valid.
-    pub(crate) fn into_update(
-        self,
-        zones: &[String],
-        complete_kind: EndpointListKind,
-    ) -> Result<ListUpdate, ListError> {
+    pub(crate) fn into_update(self, complete_kind: EndpointListKind) -> Result<ListUpdate, ListError> {
         if self.entries.too_many {
             return Err(ListError::TooManyEntries);
         }
         let kind = if self.is_complete { complete_kind } else { EndpointListKind::Delta };
         let mut update =
-            ListUpdate { kind, endpoints: Vec::new(), addresses: Vec::new(), problems: Vec::new() };
+            ListUpdate { kind, endpoints: Vec::new(), backends: Vec::new(), problems: Vec::new() };
         let is_empty = self.entries.texts.is_empty();
         for text in self.entries.texts {
             match (backend_name(text.get()), Entry::parse(text.get())) {
-                (Some(name), Ok(entry)) => update.add(name, entry, zones),
+                (Some(name), Ok(entry)) => update.add(name, entry),
                 (name, parsed) => update.add_invalid(name, parsed.err().unwrap_or(EntryError::InvalidName)),
             }
         }
@@ -160,13 +162,13 @@
 }
 
 impl ListUpdate {
-    fn add(&mut self, name: BackendId, entry: Entry, zones: &[String]) {
+    fn add(&mut self, name: BackendId, entry: Entry) {
         if entry.has_unknown_status() {
             self.report(Some(name.clone()), EntryError::UnknownStatus);
         }
-        let (endpoint, address) = entry.into_endpoint(name, zones);
+        let (endpoint, backend) = entry.into_endpoint(name);
         self.endpoints.push(endpoint);
-        self.addresses.push(address);
+        self.backends.push(backend);
     }
 
     /// Handles an invalid entry. In a complete list, leaving the backend out removes it; in a list of
@@ -174,9 +176,14 @@
     fn add_invalid(&mut self, name: Option<BackendId>, error: EntryError) {
         self.report(name.clone(), error);
         let Some(id) = name.filter(|_| self.kind == EndpointListKind::Delta) else { return };
-        let (zone, cell, started, lifecycle) = (0, 0, 0.0, Lifecycle::Draining);
-        self.endpoints.push(Endpoint { id: id.clone(), zone, cell, started, lifecycle });
-        self.addresses.push(EndpointAddress { name: id, address: None });
+        self.withdraw(id);
+    }
+
+    /// Marks a backend as taking no new requests. Nothing else about it changes.
+    pub fn withdraw(&mut self, id: BackendId) {
+        let (location, started, lifecycle) = (Location::UNKNOWN, 0.0, Lifecycle::Draining);
+        self.endpoints.push(Endpoint { id: id.clone(), location, started, lifecycle });
+        self.backends.push(ListedBackend { name: id, instance: None });
     }
 
     fn report(&mut self, backend: Option<BackendId>, error: EntryError) {
--- a/crates/platform/src/list/entry.rs
+++ b/crates/platform/src/list/entry.rs
@@ -1,17 +1,14 @@
 //! The entries of an endpoint list.
 
-use super::EndpointAddress;
+use super::{BackendInstance, ListedBackend};
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::fmt;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
-use weirusher::{BackendId, Endpoint, Lifecycle};
+use weirusher::{BackendId, CellId, Endpoint, Lifecycle, Location, ZoneId};
 
 /// Maximum length of a backend's name, in bytes.
 pub(super) const MAX_NAME_BYTES: usize = 256;
-/// Bit that is set in the numbers of zones that are not in the settings.
-const UNLISTED_ZONE_BIT: u32 = 1 << 31;
 
 /// Why an entry is invalid, or which of its values was replaced.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -53,7 +50,7 @@
     #[serde(default)]
     zone: String,
     #[serde(default, rename = "group")]
-    cell: u32,
+    cell: Option<u32>,
     status: EntryStatus,
     #[serde(default)]
     since_ms: f64,
@@ -84,22 +81,19 @@
         self.status == EntryStatus::Unknown
     }
 
-    /// Converts the entry for the policy, and returns it with the address of the backend.
-    pub(super) fn into_endpoint(self, name: BackendId, zones: &[String]) -> (Endpoint, EndpointAddress) {
+    /// Converts the entry for the policy, and returns it with the process that it describes.
+    pub(super) fn into_endpoint(self, name: BackendId) -> (Endpoint, ListedBackend) {
         let lifecycle = match self.status {
             EntryStatus::Serving => Lifecycle::Running,
             EntryStatus::Draining | EntryStatus::Unknown => Lifecycle::Draining,
             EntryStatus::Deleted => Lifecycle::Removed,
         };
-        let endpoint = Endpoint {
-            id: name.clone(),
-            zone: zone_number(zones, &self.zone),
-            cell: self.cell,
-            started: self.since_ms / 1e3,
-            lifecycle,
-        };
-        let address = (lifecycle == Lifecycle::Running).then_some(self.address);
-        (endpoint, EndpointAddress { name, address })
+        let location =
+            Location { zone: ZoneId::from_name(&self.zone), cell: self.cell.map(CellId::from_number) };
+        let endpoint = Endpoint { id: name.clone(), location, started: self.since_ms / 1e3, lifecycle };
+        let instance = BackendInstance { address: self.address, location, started_ms: self.since_ms as u64 };
+        let instance = (lifecycle == Lifecycle::Running).then_some(instance);
+        (endpoint, ListedBackend { name, instance })
     }
 }
 
@@ -115,15 +109,3 @@
     let EntryName { name } = serde_json::from_str(text).ok()?;
     (!name.is_empty() && name.len() <= MAX_NAME_BYTES).then(|| (*name).into())
 }
-
-/// Returns the number of a zone: its index in the settings, or a hash of its name for a zone that is not in
-/// the settings. If two zones shared a number, a retry with an idempotency key could be sent to a zone that
-/// has not received the key, as the scope of keys may be a zone.
-fn zone_number(zones: &[String], name: &str) -> u32 {
-    let hashed = || {
-        let mut hasher = DefaultHasher::new();
-        name.hash(&mut hasher);
-        hasher.finish() as u32 | UNLISTED_ZONE_BIT
-    };
-    zones.iter().position(|zone| zone == name).map_or_else(hashed, |index| index as u32)
-}
--- a/crates/platform/tests/parsers.rs
+++ b/crates/platform/tests/parsers.rs
@@ -3,7 +3,7 @@
 use bytes::BytesMut;
 use proptest::prelude::*;
 use serde_json::json;
-use weirusher::{EndpointListKind, Lifecycle, PlatformSettings, Status};
+use weirusher::{CellId, EndpointListKind, Lifecycle, Location, PlatformSettings, Status, ZoneId};
 use weirusher_buffers::ByteBudget;
 use weirusher_platform::client::{self, ClientMessage, ClientRequest, RequestCatalog, RequestError};
 use weirusher_platform::counter::AddResult;
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn unknown_zone_has_its_own_number() {
+fn a_zone_is_told_by_its_name_and_an_empty_name_is_none() {
     let zones = ["a", "b", "c", "c", "a", ""];
     let entry = |(n, zone): (usize, &&str)| {
         json!({"name": format!("s-{n}"),
@@ -65,10 +65,16 @@
     };
     let endpoints: Vec<_> = zones.iter().enumerate().map(entry).collect();
     let list = json!({"index": 1, "snapshot": true, "endpoints": endpoints}).to_string();
-    let update = ListState::new(vec!["a".into(), "b".into()]).apply(list.as_bytes()).unwrap().unwrap();
-    let found: Vec<u32> = update.endpoints.iter().map(|endpoint| endpoint.zone).collect();
-    assert_eq!((found[0], found[1], found[4]), (0, 1, 0));
-    assert!(found[2] == found[3] && found[2] > 1 && found[5] > 1 && found[2] != found[5], "{found:?}");
+    let update = ListState::default().apply(list.as_bytes()).unwrap().unwrap();
+    let found: Vec<_> = update.endpoints.iter().map(|endpoint| endpoint.location.zone).collect();
+    assert_eq!(found, zones.map(ZoneId::from_name));
+    assert!(found[0] == found[4] && found[2] == found[3] && found[5].is_none(), "{found:?}");
+    assert!(found[0] != found[1] && found[0] != found[2] && found[1] != found[2], "{found:?}");
+    assert!(found[..5].iter().all(Option::is_some), "{found:?}");
+    assert!(
+        update.endpoints.iter().all(|endpoint| endpoint.location.cell.is_none()),
+        "no entry states a cell"
+    );
 }
 
 #[test]
@@ -239,7 +245,7 @@
 
 #[test]
 fn a_list_is_applied_by_its_version() {
-    let mut state = ListState::new(vec!["a".into(), "b".into()]);
+    let mut state = ListState::default();
     assert_eq!(state.poll_target(5.0), "/api/targets");
     let list = |index: u64, complete: bool, status: &str| {
         json!({"index": index, "snapshot": complete, "endpoints": [{"name": "s-1", "address": "10.1.0.18:8443",
@@ -252,14 +258,17 @@
     );
     let update = state.apply(list(41, true, "SERVING").as_bytes()).unwrap().unwrap();
     assert_eq!(
-        (update.kind, update.endpoints[0].zone, update.endpoints[0].cell),
-        (EndpointListKind::Snapshot, 1, 3)
+        (update.kind, update.endpoints[0].location),
+        (
+            EndpointListKind::Snapshot,
+            Location { zone: ZoneId::from_name("b"), cell: Some(CellId::from_number(3)) }
+        )
     );
     assert!((update.endpoints[0].started - 1.5).abs() < 1e-9);
     assert_eq!(state.poll_target(5.0), "/api/targets?since=41&timeout_ms=5000");
     let update = state.apply(list(43, false, "DELETED").as_bytes()).unwrap().unwrap();
     assert_eq!((update.kind, update.endpoints[0].lifecycle), (EndpointListKind::Delta, Lifecycle::Removed));
-    assert_eq!(update.addresses[0].address, None);
+    assert_eq!(update.backends[0].instance, None);
     for bad in ["", "{", "[]", r#"{"index":1}"#, &list(44, true, "SERVING").replace("10.1", "x")] {
         assert!(state.apply(bad.as_bytes()).is_err(), "{bad}");
     }
@@ -286,7 +295,7 @@
         json!(7),
     ];
     for complete in [true, false] {
-        let mut state = ListState::new(vec!["a".into()]);
+        let mut state = ListState::default();
         state
             .apply(json!({"index": 1, "snapshot": true, "endpoints": [good]}).to_string().as_bytes())
             .unwrap();
@@ -295,9 +304,9 @@
         let list = json!({"index": 2, "snapshot": complete, "endpoints": entries}).to_string();
         let update = state.apply(list.as_bytes()).unwrap().expect("a newer version");
         let serving: Vec<_> = update
-            .addresses
+            .backends
             .iter()
-            .filter(|entry| entry.address.is_some())
+            .filter(|entry| entry.instance.is_some())
             .map(|entry| &*entry.name)
             .collect();
         assert_eq!(serving, ["s-1"], "backends with invalid entries get no new requests");
--- a/crates/scenarios/src/fleet/backend.rs
+++ b/crates/scenarios/src/fleet/backend.rs
@@ -2,7 +2,7 @@
 
 use super::{ANY_PORT, Fleet, FleetError, TICKET_SECRET, io_error};
 use std::time::{SystemTime, UNIX_EPOCH};
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{Endpoint, Lifecycle, Location};
 use weirusher_core::{Key, Keyring};
 use weirusher_fakes::{BackendState, CaptureEvent, FakeBackend, FakeBackendSpec, Link, SlowStart};
 
@@ -80,8 +80,7 @@
     pub fn publish_endpoints(&self) {
         let endpoint = |slot: &BackendSlot| Endpoint {
             id: slot.front.address.to_string().into(),
-            zone: 0,
-            cell: 0,
+            location: Location::from_numbers(0, 0),
             started: slot.started_seconds,
             lifecycle: slot.lifecycle,
         };
--- a/crates/scenarios/tests/gateway/site.rs
+++ b/crates/scenarios/tests/gateway/site.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{Endpoint, Lifecycle, Location};
 use weirusher_config::Config;
 use weirusher_core::{Key, Keyring};
 use weirusher_ext_authz::GatewayHandle;
@@ -158,8 +158,7 @@
     pub fn publish(&self, lifecycles: &[Lifecycle]) {
         let endpoint = |(backend, lifecycle): (&FakeBackend, &Lifecycle)| Endpoint {
             id: backend.address.to_string().into(),
-            zone: 0,
-            cell: 0,
+            location: Location::from_numbers(0, 0),
             started: 0.0,
             lifecycle: *lifecycle,
         };
--- a/crates/wire/src/eds.rs
+++ b/crates/wire/src/eds.rs
@@ -1,6 +1,7 @@
 //! Endpoint lists in the protobuf format of Envoy's endpoint discovery service (EDS).
 //!
-//! One `ClusterLoadAssignment` is a complete list. Endpoints have the zone of their locality. The health status
+//! One `ClusterLoadAssignment` is a complete list. Endpoints have the zone of their locality, and its `sub_zone` is
+//! their cell; an empty name means that the zone or cell is not known. The health status
 //! `DRAINING` maps to draining, `UNHEALTHY` and `TIMEOUT` to removed, every other one to running. The metadata field
 //! `weirusher.started` is the Unix time in seconds of an endpoint's last start.
 
@@ -11,9 +12,9 @@
     ClusterLoadAssignment, Endpoint as EndpointProto, LbEndpoint, LocalityLbEndpoints, lb_endpoint,
 };
 use envoy_types::pb::google::protobuf::{Struct, Value, value};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use weirusher::{Endpoint, Lifecycle};
+use weirusher::{CellId, Endpoint, Lifecycle, Location, ZoneId};
 
 /// The type URL of a `ClusterLoadAssignment` in a discovery response.
 pub const TYPE_URL: &str = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
@@ -31,37 +32,36 @@
     pub endpoints: Vec<Endpoint>,
     /// Number of entries without a usable address.
     pub invalid: usize,
-    /// Number of entries whose address occurs earlier in the list; the first entry is used.
+    /// Number of entries whose address occurs earlier in the list; the first entry is used. If the entries are at
+    /// different locations, the location is unknown.
     pub duplicate: usize,
     /// Number of entries beyond [`MAX_ENDPOINTS`].
     pub excess: usize,
 }
 
-/// Decodes an endpoint list. A zone is numbered by its position in `zones`; zones that are not in `zones` get the
-/// numbers after those, in the order in which they occur.
-pub fn decode(assignment: &ClusterLoadAssignment, zones: &[String]) -> EndpointList {
-    let (mut list, mut seen) = (EndpointList::default(), HashSet::new());
-    let mut names: Vec<&str> = zones.iter().map(String::as_str).collect();
+/// Decodes an endpoint list.
+pub fn decode(assignment: &ClusterLoadAssignment) -> EndpointList {
+    let (mut list, mut seen) = (EndpointList::default(), HashMap::new());
     for locality in &assignment.endpoints {
-        let name = locality.locality.as_ref().map_or("", |l| l.zone.as_str());
-        let zone = names.iter().position(|n| *n == name).unwrap_or_else(|| {
-            names.push(name);
-            names.len() - 1
-        });
+        let location = locality.locality.as_ref().map_or(Location::UNKNOWN, location_of);
         for endpoint in &locality.lb_endpoints {
             let Some(address) = address_of(endpoint) else {
                 list.invalid += 1;
                 continue;
             };
-            if !seen.insert(address) {
+            if let Some(first) = seen.get(&address) {
                 list.duplicate += 1;
+                let first: &mut Endpoint = &mut list.endpoints[*first];
+                if first.location != location {
+                    first.location = Location::UNKNOWN;
+                }
             } else if list.endpoints.len() >= MAX_ENDPOINTS {
                 list.excess += 1;
             } else {
+                seen.insert(address, list.endpoints.len());
                 list.endpoints.push(Endpoint {
                     id: address.to_string().into(),
-                    zone: zone as u32,
-                    cell: 0,
+                    location,
                     started: started(endpoint).unwrap_or(0.0),
                     lifecycle: lifecycle(endpoint.health_status()),
                 });
@@ -71,6 +71,10 @@
     list
 }
 
+fn location_of(locality: &Locality) -> Location {
+    Location { zone: ZoneId::from_name(&locality.zone), cell: CellId::from_name(&locality.sub_zone) }
+}
+
 fn lifecycle(status: HealthStatus) -> Lifecycle {
     match status {
         HealthStatus::Draining => Lifecycle::Draining,
@@ -99,20 +103,32 @@
     }
 }
 
-/// Encodes an endpoint list for `cluster`; the reverse of [`decode`]. Endpoints whose id is not a socket address are
-/// omitted.
-pub fn encode(cluster: &str, endpoints: &[Endpoint], zones: &[String]) -> ClusterLoadAssignment {
-    let mut by_zone: BTreeMap<u32, Vec<LbEndpoint>> = BTreeMap::new();
+/// Encodes an endpoint list for `cluster`, in which the names of zones and cells are their numbers. Endpoints whose id is
+/// not a socket address are omitted.
+pub fn encode(cluster: &str, endpoints: &[Endpoint]) -> ClusterLoadAssignment {
+    let mut localities: Vec<LocalityLbEndpoints> = Vec::new();
     for endpoint in endpoints {
-        by_zone.entry(endpoint.zone).or_default().extend(to_proto(endpoint));
+        let locality = Some(locality(endpoint.location));
+        let known = localities.iter().position(|known| known.locality == locality);
+        let index = known.unwrap_or_else(|| {
+            localities.push(LocalityLbEndpoints { locality, ..LocalityLbEndpoints::default() });
+            localities.len() - 1
+        });
+        localities[index].lb_endpoints.extend(to_proto(endpoint));
+    }
+    ClusterLoadAssignment {
+        cluster_name: cluster.into(),
+        endpoints: localities,
+        ..ClusterLoadAssignment::default()
+    }
+}
+
+fn locality(location: Location) -> Locality {
+    Locality {
+        zone: location.zone.map_or_else(String::new, |zone| zone.number().to_string()),
+        sub_zone: location.cell.map_or_else(String::new, |cell| cell.number().to_string()),
+        ..Locality::default()
     }
-    let locality = |(zone, lb_endpoints): (u32, Vec<LbEndpoint>)| {
-        let zone = zones.get(zone as usize).cloned().unwrap_or_else(|| zone.to_string());
-        let locality = Some(Locality { zone, ..Locality::default() });
-        LocalityLbEndpoints { locality, lb_endpoints, ..LocalityLbEndpoints::default() }
-    };
-    let endpoints = by_zone.into_iter().map(locality).collect();
-    ClusterLoadAssignment { cluster_name: cluster.into(), endpoints, ..ClusterLoadAssignment::default() }
 }
 
 fn to_proto(endpoint: &Endpoint) -> Option<LbEndpoint> {
--- a/examples/trace.rs
+++ b/examples/trace.rs
@@ -8,7 +8,7 @@
 use std::hash::Hasher;
 use weirusher::{
     Action, BackendId, Class, DedupScope, Endpoint, EndpointListKind, Event, Gateway, Idempotency, Lifecycle,
-    LoadReport, Plan, Request, RequestId, Settings, Status, Time,
+    LoadReport, Location, Plan, Request, RequestId, Settings, Status, Time,
 };
 
 /// Number of requests and endpoint lists in a trace.
@@ -207,8 +207,7 @@
         let draining = self.rng.u32(..20) == 0;
         Endpoint {
             id: format!("10.0.{}.{}:80", i / 250, i % 250).into(),
-            zone: (i % 3) as u32,
-            cell: (i % 4) as u32,
+            location: Location::from_numbers((i % 3) as u32, (i % 4) as u32),
             started: self.started_at[i],
             lifecycle: if draining { Lifecycle::Draining } else { Lifecycle::Running },
         }
--- a/fuzz/fuzz_targets/eds.rs
+++ b/fuzz/fuzz_targets/eds.rs
@@ -8,7 +8,7 @@
 
 fuzz_target!(|data: &[u8]| {
     if let Ok(assignment) = ClusterLoadAssignment::decode(data) {
-        let list = eds::decode(&assignment, &["a".to_string()]);
+        let list = eds::decode(&assignment);
         let ids: std::collections::HashSet<_> = list.endpoints.iter().map(|endpoint| &endpoint.id).collect();
         assert_eq!(ids.len(), list.endpoints.len());
     }
--- a/src/bin/weirusher-benchlink/decode.rs
+++ b/src/bin/weirusher-benchlink/decode.rs
@@ -4,7 +4,7 @@
 use crate::fields::Fields;
 use serde_json::Value;
 use std::collections::BTreeMap;
-use weirusher::{Endpoint, EndpointListKind, Event, Lifecycle, LoadReport, Request, Status};
+use weirusher::{Endpoint, EndpointListKind, Event, Lifecycle, LoadReport, Location, Request, Status};
 
 /// The bit of `StateBits` that marks a client's retry.
 const RETRY_BIT: u64 = 2;
@@ -41,9 +41,11 @@
 
 fn endpoint(fields: &Fields<'_>) -> Result<Endpoint, MessageError> {
     Ok(Endpoint {
-        cell: fields.number_or(0, "Cell", 0.0)? as u32,
+        location: Location::from_numbers(
+            fields.number_or(3, "Zone", 0.0)? as u32,
+            fields.number_or(0, "Cell", 0.0)? as u32,
+        ),
         started: fields.number_or(1, "StartTime", 0.0)?,
-        zone: fields.number_or(3, "Zone", 0.0)? as u32,
         lifecycle: match fields.text(4, "Lifecycle")? {
             "Running" => Lifecycle::Running,
             "Stopping" => Lifecycle::Draining,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,12 +6,14 @@
 mod action;
 mod endpoint;
 mod event;
+mod location;
 mod request;
 mod settings;
 
 pub use action::{Action, Reason};
 pub use endpoint::{Endpoint, EndpointListKind, Lifecycle};
 pub use event::{Event, LoadReport, Status};
+pub use location::{CellId, Location, ZoneId};
 pub use request::Request;
 pub use settings::{Class, DedupScope, Idempotency, Plan, Settings, SettingsError};
 
--- a/src/interface/endpoint.rs
+++ b/src/interface/endpoint.rs
@@ -1,6 +1,6 @@
 //! The endpoint list: the backends that exist and their states.
 
-use super::{BackendId, Time};
+use super::{BackendId, Location, Time};
 
 /// The state of a backend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,10 +18,8 @@
 pub struct Endpoint {
     /// The address of the backend.
     pub id: BackendId,
-    /// Index of its zone.
-    pub zone: u32,
-    /// Index of its cell within the zone.
-    pub cell: u32,
+    /// Where it runs.
+    pub location: Location,
     /// When it last started; 0 if it started long ago and is warmed up.
     pub started: Time,
     /// The state of the backend.
@@ -31,7 +29,12 @@
 impl Endpoint {
     /// Creates a running, warmed-up backend in the first zone and cell.
     pub fn warm(id: impl Into<BackendId>) -> Self {
-        Self { id: id.into(), zone: 0, cell: 0, started: 0.0, lifecycle: Lifecycle::Running }
+        Self {
+            id: id.into(),
+            location: Location::from_numbers(0, 0),
+            started: 0.0,
+            lifecycle: Lifecycle::Running,
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,8 +13,9 @@
 mod validation;
 
 pub use interface::{
-    Action, BackendId, Class, CustomerId, DedupScope, Endpoint, EndpointListKind, Event, Idempotency,
-    Lifecycle, LoadReport, Plan, Reason, Request, RequestId, Settings, SettingsError, Status, Time,
+    Action, BackendId, CellId, Class, CustomerId, DedupScope, Endpoint, EndpointListKind, Event, Idempotency,
+    Lifecycle, LoadReport, Location, Plan, Reason, Request, RequestId, Settings, SettingsError, Status, Time,
+    ZoneId,
 };
 pub use platform_settings::{PlatformSettings, PlatformSettingsError};
 pub use policy::Gateway;
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -86,8 +86,12 @@
             timeout,
             start_within: placement.start_within,
         });
-        let attempt = Attempt { backend: placement.backend, sent: self.now, execution: Execution::InFlight };
-        open.attempts.push(attempt);
+        open.attempts.push(Attempt {
+            backend: placement.backend,
+            location: backend.location,
+            sent: self.now,
+            execution: Execution::InFlight,
+        });
     }
 
     /// Sets the timer of a hedged request, unless the attempt times out before it is due.
--- a/src/policy/backend.rs
+++ b/src/policy/backend.rs
@@ -2,15 +2,15 @@
 
 use super::token_bucket::TokenBucket;
 use super::tuning::{EWMA_GAIN, INITIAL_EJECTION_SECONDS, OBSERVATION_MEMORY_SECONDS};
-use crate::interface::{BackendId, Endpoint, Time};
+use crate::interface::{BackendId, Endpoint, Lifecycle, Location, Time};
 use std::collections::HashMap;
 
 /// A backend as this gateway knows it.
 #[derive(Debug, Default)]
 pub(super) struct Backend {
     pub(super) id: BackendId,
-    pub(super) zone: u32,
-    pub(super) cell: u32,
+    /// Where it runs, according to its last entry that takes new requests.
+    pub(super) location: Location,
     /// It has been in the list.
     listed: bool,
     /// The list shows it as running, so it takes new requests.
@@ -35,15 +35,20 @@
 }
 
 impl Backend {
-    /// Applies an entry of the endpoint list. A backend that is new or has restarted is reset to `initial`,
-    /// as earlier observations no longer hold; only its attempts in flight are kept.
-    pub(super) fn update(&mut self, entry: &Endpoint, initial: InitialState) {
-        (self.zone, self.cell) = (entry.zone, entry.cell);
-        if !self.listed || entry.started > self.started {
+    /// Applies an entry of the endpoint list, and returns whether the backend is at another location than
+    /// before. A backend that is new, has restarted or has moved is reset to `initial`, as earlier
+    /// observations no longer hold; only its attempts in flight are kept.
+    pub(super) fn update(&mut self, entry: &Endpoint, initial: InitialState) -> bool {
+        self.running = entry.lifecycle == Lifecycle::Running;
+        // An entry that takes no new requests may state no location.
+        let states_location = self.running || !self.listed;
+        let location = if states_location { entry.location } else { self.location };
+        let moved = self.listed && location != self.location;
+        if !self.listed || moved || entry.started > self.started {
             *self = Self {
                 id: self.id.clone(),
-                zone: self.zone,
-                cell: self.cell,
+                location,
+                running: self.running,
                 listed: true,
                 in_flight: self.in_flight,
                 started: entry.started,
@@ -53,6 +58,7 @@
                 ..Self::default()
             };
         }
+        moved
     }
 
     /// Adds the latency of an attempt that was served or timed out to the moving average.
--- a/src/policy/request.rs
+++ b/src/policy/request.rs
@@ -1,6 +1,6 @@
 //! Open requests and their attempts.
 
-use crate::interface::{Request, Time};
+use crate::interface::{Location, Request, Time};
 
 /// What is known about the execution of an attempt by its backend.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -18,6 +18,8 @@
 pub(super) struct Attempt {
     /// Index of its backend.
     pub(super) backend: usize,
+    /// Where its backend ran when it was sent.
+    pub(super) location: Location,
     pub(super) sent: Time,
     pub(super) execution: Execution,
 }
--- a/src/policy/retry_scope.rs
+++ b/src/policy/retry_scope.rs
@@ -2,14 +2,16 @@
 //!
 //! An attempt that may have been executed is repeated only if the request cannot take effect twice. An
 //! idempotent request may be repeated at any backend. A keyed request may be repeated at the backends that
-//! deduplicate it, before they discard the key. Any other request is not repeated.
+//! deduplicate it, before they discard the key: those that share a zone or a cell with the backend of the
+//! earlier attempt, as that attempt was sent. At an unknown location no backend is known to deduplicate it.
+//! Any other request is not repeated.
 //!
 //! Inputs: the idempotency of the request's class, its deduplication window in seconds, the attempts so far.
 
 use super::Gateway;
 use super::backend::Backend;
 use super::request::{Execution, OpenRequest};
-use crate::interface::{DedupScope, Idempotency};
+use crate::interface::{DedupScope, Idempotency, Location};
 
 /// The backends that an attempt may be sent to, and until when.
 #[derive(Debug, Clone, Copy)]
@@ -17,20 +19,21 @@
     /// Seconds within which the attempt must have been sent; infinity means no limit.
     pub(super) start_within: f64,
     dedup: DedupScope,
-    zone: u32,
-    cell: u32,
+    /// Where the earlier attempt was sent.
+    location: Location,
 }
 
 impl RetryScope {
     /// Any backend, at any time.
-    const ANYWHERE: Self = Self { start_within: f64::INFINITY, dedup: DedupScope::All, zone: 0, cell: 0 };
+    const ANYWHERE: Self =
+        Self { start_within: f64::INFINITY, dedup: DedupScope::All, location: Location::UNKNOWN };
 
     /// Returns whether the attempt may be sent to this backend.
     pub(super) fn includes(&self, backend: &Backend) -> bool {
         match self.dedup {
             DedupScope::All => true,
-            DedupScope::Zone => backend.zone == self.zone,
-            DedupScope::Cell => backend.cell == self.cell && backend.zone == self.zone,
+            DedupScope::Zone => backend.location.shares_zone(self.location),
+            DedupScope::Cell => backend.location.shares_cell(self.location),
         }
     }
 }
@@ -49,10 +52,9 @@
             Idempotency::Idempotent => Some(RetryScope::ANYWHERE),
             Idempotency::NonIdempotent => None,
             Idempotency::Keyed { scope, window } => {
-                let backend = &self.backends.all[first.backend];
                 let start_within = first.sent + window - self.now;
-                let (zone, cell) = (backend.zone, backend.cell);
-                (start_within > 0.0).then_some(RetryScope { start_within, dedup: scope, zone, cell })
+                let location = first.location;
+                (start_within > 0.0).then_some(RetryScope { start_within, dedup: scope, location })
             }
         }
     }
--- a/tests/decisions/harness.rs
+++ b/tests/decisions/harness.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use weirusher::{
-    Action, BackendId, Class, Endpoint, EndpointListKind, Event, Gateway, Lifecycle, LoadReport, Plan,
-    Request, RequestId, Settings, Status, Time,
+    Action, BackendId, Class, Endpoint, EndpointListKind, Event, Gateway, Lifecycle, LoadReport, Location,
+    Plan, Request, RequestId, Settings, Status, Time,
 };
 
 /// A gateway with a clock that the test sets.
@@ -41,7 +41,7 @@
 }
 
 pub fn endpoint(name: &str, lifecycle: Lifecycle, started: Time) -> Endpoint {
-    Endpoint { id: name.into(), zone: 0, cell: 0, started, lifecycle }
+    Endpoint { id: name.into(), location: Location::from_numbers(0, 0), started, lifecycle }
 }
 
 /// Creates a request of one unit of the customer `c`, which both gateways serve.
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod harness;
 mod leases;
+mod locations;
 mod property;
 mod rules;
 mod settings;
--- a/tests/decisions/rules.rs
+++ b/tests/decisions/rules.rs
@@ -4,8 +4,8 @@
     Harness, endpoint, failed, forwarded, new_request, rejected, settings, settings_without_quota,
 };
 use weirusher::{
-    Action, BackendId, DedupScope, Endpoint, EndpointListKind, Event, Idempotency, Lifecycle, Settings,
-    Status,
+    Action, BackendId, DedupScope, Endpoint, EndpointListKind, Event, Idempotency, Lifecycle, Location,
+    Settings, Status,
 };
 
 fn with_idempotency(idempotency: Idempotency) -> Settings {
@@ -76,7 +76,7 @@
     let mut harness = Harness::without_backends(settings);
     let mut list: Vec<Endpoint> =
         ["a", "b", "c", "d"].map(|name| endpoint(name, Lifecycle::Running, 0.0)).into_iter().collect();
-    (list[2].zone, list[3].zone) = (1, 1);
+    (list[2].location, list[3].location) = (Location::from_numbers(1, 0), Location::from_numbers(1, 0));
     harness.update_endpoints(EndpointListKind::StaleSnapshot, list);
     let zone = |id: &BackendId| usize::from(id.as_ref() >= "c");
     let (_, first) = forwarded(&harness.request("j")).remove(0);
