node: connections that send at full speed give other tasks their turn

What callers saw: while clients pipeline readiness checks, or requests that are rejected at once, other clients get no response as long as that lasts.

Cause: a wait for a socket that is ready takes no time and does not count against the task's share of the thread, and messages in the buffer need no wait.

Change: a turn for all other tasks after each message and before each further read of a message; reads, and writes after the first, count against the share; a turn after each batch of datagrams of the fleet's socket.

--- /dev/null
+++ b/crates/cli/tests/node_floods/floods.rs
@@ -0,0 +1,196 @@
+//! Clients that send at full speed: other clients get their responses as quickly as without them.
+
+use crate::support::{Harness, READINESS_CHECK, request, unique_id};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Connections that send at full speed at once.
+const FLOODING_CONNECTIONS: usize = 6;
+/// Requests of a usual client in one measurement.
+const REQUESTS: usize = 200;
+/// Pause between two requests of the usual client.
+const PAUSE: Duration = Duration::from_millis(2);
+/// Number of measurements, the lowest of which counts: other processes of the machine delay some.
+const MEASUREMENTS: usize = 3;
+/// The time by which the 99th percentile beside a flood may exceed the one without it.
+const TOLERANCE: Duration = Duration::from_millis(10);
+/// Number of bytes that a flooding connection writes at once, at least.
+const BATCH_BYTES: usize = 16 * 1024;
+/// How long a flooding connection waits before it looks whether the flood has ended.
+const STEP: Duration = Duration::from_millis(100);
+/// How long a flood lasts before the usual client sends its first request.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// Tests that run at the same time would delay each other.
+static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+/// Makes the messages of one batch.
+type Messages = dyn Fn() -> String + Send + Sync;
+
+/// Connections that send messages at full speed and discard the responses, until it is dropped.
+struct Flood {
+    stop: Arc<AtomicBool>,
+    sent_bytes: Arc<AtomicU64>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(address: SocketAddr, messages: impl Fn() -> String + Send + Sync + 'static) -> Self {
+        let (stop, sent_bytes) = (Arc::<AtomicBool>::default(), Arc::<AtomicU64>::default());
+        let messages: Arc<Messages> = Arc::new(messages);
+        let start_thread = |_| {
+            let (stop, sent_bytes, messages) = (stop.clone(), sent_bytes.clone(), messages.clone());
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    flood_connection(address, &messages, &stop, &sent_bytes);
+                }
+            })
+        };
+        let threads = (0..FLOODING_CONNECTIONS).map(start_thread).collect();
+        Self { stop, sent_bytes, threads }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Sends messages on one connection until it closes or the flood ends.
+fn flood_connection(
+    address: SocketAddr,
+    messages: &Arc<Messages>,
+    stop: &AtomicBool,
+    sent_bytes: &AtomicU64,
+) {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, STEP) else { return };
+    stream.set_write_timeout(Some(STEP)).unwrap();
+    let mut responses = stream.try_clone().unwrap();
+    let reader = std::thread::spawn(move || {
+        let mut discarded = vec![0; 64 * 1024];
+        while matches!(responses.read(&mut discarded), Ok(1..)) {}
+        let _ = responses.shutdown(Shutdown::Both);
+    });
+    'connection: while !stop.load(Ordering::Relaxed) {
+        let mut batch = String::new();
+        while batch.len() < BATCH_BYTES {
+            batch.push_str(&messages());
+        }
+        let mut unsent = batch.as_bytes();
+        while !unsent.is_empty() && !stop.load(Ordering::Relaxed) {
+            match stream.write(unsent) {
+                Ok(count) => {
+                    sent_bytes.fetch_add(count as u64, Ordering::Relaxed);
+                    unsent = &unsent[count..];
+                }
+                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => break 'connection,
+            }
+        }
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+    let _ = reader.join();
+}
+
+/// The 99th percentile of the response times of a usual client, each of whose requests is answered with 200. Half of
+/// its requests open a connection.
+async fn response_time(harness: &Harness) -> Duration {
+    let mut times = Vec::new();
+    let mut client = harness.client().await;
+    for nth in 0..REQUESTS {
+        let text = request(&unique_id(), "iso", 2000);
+        let started = Instant::now();
+        if nth % 2 == 0 {
+            client = harness.client().await;
+        }
+        let response = tokio::time::timeout(Duration::from_secs(2), client.exchange(&text)).await;
+        let status = response.expect("a response by the deadline").map(|response| response.status);
+        assert_eq!(status, Some(200));
+        times.push(started.elapsed());
+        tokio::time::sleep(PAUSE).await;
+    }
+    times.sort_unstable();
+    times[REQUESTS * 99 / 100]
+}
+
+/// The lowest result of several measurements.
+async fn lowest_response_time(harness: &Harness) -> Duration {
+    let mut lowest = Duration::MAX;
+    for _ in 0..MEASUREMENTS {
+        lowest = lowest.min(response_time(harness).await);
+    }
+    lowest
+}
+
+/// A request of another customer than the usual client's, which its plan `tiny` does not cover.
+fn excess_request(deadline_ms: u64) -> String {
+    request(&unique_id(), "tiny", deadline_ms).replace("b4d65521", "00000007")
+}
+
+/// Compares the response times of a usual client with and without a flood of these messages.
+async fn assert_usual_clients_are_served(messages: impl Fn() -> String + Send + Sync + 'static) {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let harness = Harness::start(2).await;
+    let quiet = lowest_response_time(&harness).await;
+    let flood = Flood::start(harness.listen, messages);
+    tokio::time::sleep(LEAD).await;
+    let flooded = lowest_response_time(&harness).await;
+    let sent = flood.sent_bytes.load(Ordering::Relaxed);
+    eprintln!("p99: {quiet:?} quiet, {flooded:?} beside a flood of {sent} bytes");
+    assert!(sent > 10 * BATCH_BYTES as u64, "the flood is slow: {sent} bytes");
+    assert!(flooded <= quiet + TOLERANCE, "p99: {quiet:?} quiet, {flooded:?} beside the flood");
+}
+
+/// Guards against clients that get no response while others pipeline readiness checks: their tasks never handed the
+/// thread back.
+#[tokio::test]
+async fn pipelined_readiness_checks_delay_no_other_client() {
+    assert_usual_clients_are_served(|| READINESS_CHECK.to_string()).await;
+}
+
+/// Guards against the same delay by requests that are rejected at once.
+#[tokio::test]
+async fn pipelined_rejected_requests_delay_no_other_client() {
+    assert_usual_clients_are_served(|| excess_request(2000)).await;
+}
+
+/// Guards against the same delay by requests of customers that come once.
+#[tokio::test]
+async fn pipelined_requests_of_ever_new_customers_delay_no_other_client() {
+    static CUSTOMERS: AtomicU64 = AtomicU64::new(1 << 20);
+    assert_usual_clients_are_served(|| {
+        let customer = format!("{:016x}", CUSTOMERS.fetch_add(1, Ordering::Relaxed));
+        // A time budget of a millisecond: the request is rejected at once.
+        request(&unique_id(), "tiny", 1).replace("00000000b4d65521", &customer)
+    })
+    .await;
+}
+
+/// Guards against the same delay by the bodies of rejected requests, in the smallest chunks.
+#[tokio::test]
+async fn bodies_in_small_chunks_delay_no_other_client() {
+    let chunks = "1\r\nx\r\n".repeat(4000);
+    assert_usual_clients_are_served(move || {
+        let head = excess_request(2000).replace("GET", "POST").replace("check", "store");
+        let head = head.trim_end().to_string();
+        format!("{head}\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+    })
+    .await;
+}
+
+/// Guards against the same delay by invalid requests, after each of which the connection is closed.
+#[tokio::test]
+async fn invalid_requests_delay_no_other_client() {
+    assert_usual_clients_are_served(|| {
+        format!("GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n{}", "x".repeat(4096))
+    })
+    .await;
+}
--- a/crates/net/src/transfer.rs
+++ b/crates/net/src/transfer.rs
@@ -2,12 +2,16 @@
 //!
 //! Tokio's own I/O takes a short transfer as a sign that the socket is drained or full, and waits for the next
 //! readiness notification of the system. If the transfer was short for another reason, that notification never arrives.
+//!
+//! Waiting for a socket that is always ready takes no time, so a task would keep its thread as long as its peer keeps
+//! sending. Each transfer therefore counts against the task's share of the thread ([`consume_budget`]).
 
 use bytes::Buf;
 use std::io::{self, ErrorKind, IoSlice};
 use std::task::{Context, Poll, ready};
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use weirusher_buffers::ReadBuffer;
 
 /// Maximum number of slices in a vectored write: a head in two parts and several blocks of a body.
@@ -30,6 +34,7 @@
         buffer.grow().map_err(|exhausted| io::Error::new(ErrorKind::OutOfMemory, exhausted))?;
     }
     loop {
+        consume_budget().await;
         stream.readable().await?;
         match stream.try_read(buffer.space()) {
             Ok(count) => {
@@ -53,6 +58,7 @@
     mut receive: impl FnMut(&[u8]) -> T,
 ) -> io::Result<T> {
     loop {
+        consume_budget().await;
         stream.readable().await?;
         match try_read_chunk(stream, limit, &mut receive) {
             Err(error) if is_transient(&error) => {}
@@ -93,13 +99,16 @@
     }
 }
 
-/// Writes all bytes.
+/// Writes all bytes. The first write is not delayed by other tasks, so that a check made just before it still holds.
 ///
 /// # Errors
 /// The connection failed.
 pub async fn write_all(stream: &TcpStream, mut bytes: impl Buf) -> io::Result<()> {
     while bytes.has_remaining() {
         write(stream, &mut bytes).await?;
+        if bytes.has_remaining() {
+            consume_budget().await;
+        }
     }
     Ok(())
 }
--- a/crates/node/src/client_socket.rs
+++ b/crates/node/src/client_socket.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use weirusher_buffers::ReadBuffer;
 use weirusher_net::since_last_received;
 use weirusher_wire::body::BodyReader;
@@ -78,6 +79,7 @@
     /// behind unread bytes.
     pub async fn wait_disconnected(&self, buffer: &mut ReadBuffer) -> io::Error {
         loop {
+            consume_budget().await;
             let reads = has_space(buffer);
             // With interest in urgent data only, the close is the only event that is notified.
             let interest = if reads { Interest::READABLE } else { Interest::PRIORITY };
@@ -122,6 +124,7 @@
         while self.0.ready(Interest::PRIORITY).await.is_ok_and(is_open) {
             let clear_readiness = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
             let _ = self.0.try_io(Interest::PRIORITY, clear_readiness); // Urgent data stays unread.
+            consume_budget().await;
         }
     }
 }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -17,6 +17,7 @@
 use std::io;
 use std::rc::Rc;
 use tokio::sync::oneshot;
+use tokio::task::yield_now;
 use weirusher::{RequestId, Time};
 use weirusher_buffers::{Growth, ReadBuffer};
 use weirusher_core::IncomingRequest;
@@ -102,7 +103,8 @@
         }
     }
 
-    /// Serves the requests of the connection until it closes.
+    /// Serves the requests of the connection until it closes. After each message all other tasks have their turn,
+    /// however many further messages have arrived.
     pub async fn serve(mut self) {
         let reason = loop {
             let served = match weirusher_panics::catch(self.serve_next()).await {
@@ -112,6 +114,7 @@
             if let Err(reason) = served {
                 break reason;
             }
+            yield_now().await;
         };
         let node = &self.slot.node;
         node.connections.closed(reason);
--- a/crates/node/src/connection/read.rs
+++ b/crates/node/src/connection/read.rs
@@ -3,6 +3,7 @@
 use super::{Connection, Progress};
 use crate::metrics::CloseReason;
 use bytes::Buf;
+use tokio::task::yield_now;
 use weirusher_buffers::{BudgetExhausted, SegmentedBytes};
 use weirusher_platform::backend::ForwardedRequest;
 use weirusher_platform::client::{
@@ -104,11 +105,15 @@
         }
     }
 
-    /// Waits for more bytes. Those that belong to the body of `reader` go to it, others to the buffer.
+    /// Waits for more bytes. Those that belong to the body of `reader` go to it, others to the buffer. All other
+    /// tasks have their turn before a message is read further.
     ///
     /// # Errors
     /// The connection is to be closed, or the memory for requests is exhausted.
     async fn read_more(&mut self, reader: Option<&mut BodyReader>) -> Result<(), ReadError> {
+        if self.is_reading {
+            yield_now().await;
+        }
         if !self.slot.node.may_read() {
             return Err(self.close_requested());
         }
--- a/crates/node/src/connection/respond.rs
+++ b/crates/node/src/connection/respond.rs
@@ -6,6 +6,7 @@
 use crate::metrics::CloseReason;
 use bytes::{Buf, BytesMut};
 use std::time::Duration;
+use tokio::task::yield_now;
 use weirusher::Reason;
 use weirusher_buffers::SegmentedBytes;
 use weirusher_core::Outcome;
@@ -133,6 +134,7 @@
                     Ok(count @ 1..) => remaining -= count,
                     _ => break,
                 }
+                yield_now().await;
             }
         };
         // After the timeout the connection is closed anyway.
--- a/crates/peers/src/driver.rs
+++ b/crates/peers/src/driver.rs
@@ -40,6 +40,8 @@
                 ready = self.socket.readable() => {
                     if ready.is_ok() {
                         self.receive();
+                        // A socket that is always ready would keep the thread from all other tasks.
+                        tokio::task::yield_now().await;
                     }
                 }
                 () = tokio::time::sleep_until(timeout) => {}
