node: a close behind unread bytes is noticed, and its requests are not sent on

What callers saw: a client closed its connection with much still unread, and its requests were sent to backends one after another although nobody waited.

Cause: a close was noticed as the end of the bytes; with more bytes unread than are read ahead, the end is not reached, and peeking finds bytes.

Change: the state of the connection is asked from the system (TCP_INFO) when a request was read and right before the first byte of an attempt.

Evidence: connection::tests::request_of_a_client_that_closed_behind_unread_bytes_is_ not_registered and the new case of an_attempt_is_not_sent_if_its_client_has_just_ closed failed on the code before, for a close and for a reset; they pass now.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,5 +12,5 @@
 pub use connect::connect;
 pub use listen::{Listener, bind};
 pub use stream::Stream;
-pub use tcp_info::since_last_received;
+pub use tcp_info::{is_closed_by_peer, since_last_received};
 pub use transfer::{read, read_chunk, write, write_all};
--- a/crates/node/src/client_socket.rs
+++ b/crates/node/src/client_socket.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
 use weirusher_buffers::ReadBuffer;
-use weirusher_net::since_last_received;
+use weirusher_net::{is_closed_by_peer, since_last_received};
 use weirusher_wire::body::BodyReader;
 use weirusher_wire::http1::HttpError;
 
@@ -99,9 +99,14 @@
         }
     }
 
-    /// Whether the client has closed or reset the connection, according to the system at this moment. A close
-    /// behind unread bytes is not detected.
+    /// Whether the client has closed or reset the connection, according to the system at this moment, behind
+    /// unread bytes even.
     pub fn is_disconnected(&self) -> bool {
+        is_closed_by_peer(&*self.0).unwrap_or_else(|| self.has_nothing_but_a_close_to_read())
+    }
+
+    /// Whether the next read would find that the client has closed or reset the connection.
+    fn has_nothing_but_a_close_to_read(&self) -> bool {
         match SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit(); 1]) {
             Ok(count) => count == 0,
             Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -153,6 +153,9 @@
         if node.may_read() {
             self.socket.read_ahead(&mut self.buffer)?;
         }
+        if self.socket.is_disconnected() {
+            return Err(CloseReason::ClientClosed);
+        }
         let unread_for = self.socket.time_since_received().as_secs_f64();
         self.log_request_read(&request, unread_for);
         self.requests += 1;
--- a/crates/node/src/connection/tests.rs
+++ b/crates/node/src/connection/tests.rs
@@ -104,6 +104,31 @@
     .await;
 }
 
+/// More requests than the gateway reads ahead.
+fn unread_requests() -> String {
+    (100..300).map(request).collect()
+}
+
+/// Guards against requests that are sent on although their client has left: its close was behind unread bytes.
+#[tokio::test]
+async fn request_of_a_client_that_closed_behind_unread_bytes_is_not_registered() {
+    with_node(async |node| {
+        for resets in [false, true] {
+            let (connection, client) = connected(&node, &(request(0) + &unread_requests())).await;
+            if resets {
+                SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap();
+                drop(client);
+            } else {
+                client.shutdown(std::net::Shutdown::Write).unwrap();
+            }
+            let mut serve = std::pin::pin!(connection.serve());
+            assert_eq!(poll_once(serve.as_mut()), Poll::Ready(()), "resets: {resets}");
+            assert_eq!(node.state.borrow().proxy.metrics().requests, 0, "resets: {resets}");
+        }
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_close_together_with_bytes_read_ahead_is_detected() {
     with_node(async |node| {
@@ -149,9 +174,11 @@
 #[tokio::test]
 async fn an_attempt_is_not_sent_if_its_client_has_just_closed() {
     with_node(async |node| {
-        for client_closes in [false, true] {
+        for (client_closes, unread) in [(false, false), (true, false), (true, true)] {
             let mut backend = pooled_backend(&node).await;
-            let (connection, client) = connected(&node, &request(u32::from(client_closes))).await;
+            let id = u32::from(client_closes) + u32::from(unread);
+            let unread = if unread { unread_requests() } else { String::new() };
+            let (connection, client) = connected(&node, &(request(id) + &unread)).await;
             let mut serve = std::pin::pin!(connection.serve());
             assert_eq!(poll_once(serve.as_mut()), Poll::Pending, "the attempt is decided but not sent");
             let client = (!client_closes).then_some(client);
