node: an id whose request may have run is not executed a second time

Cause: a request leaves the table with its client or its response, and its id is new when it comes again.

--- a/crates/cli/tests/node/main.rs
+++ b/crates/cli/tests/node/main.rs
@@ -17,6 +17,7 @@
 mod idle_connections;
 mod locations;
 mod log;
+mod repeated_ids;
 mod resource_limits;
 mod scheduling_delay;
 mod shutdown_deadline;
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -134,8 +134,7 @@
         if prior.len() >= self.max_attempts.max(1) {
             return Some(Violation::TooManyAttempts);
         }
-        let idempotency =
-            self.classes.get(class).map_or(Idempotency::NonIdempotent, |class| class.idempotency);
+        let idempotency = self.idempotency(class);
         let may_hedge = self.hedging && idempotency != Idempotency::NonIdempotent;
         if !may_hedge && prior.iter().any(|attempt| attempt.execution == Execution::InFlight) {
             return Some(Violation::ConcurrentAttempt);
@@ -151,6 +150,15 @@
         }
     }
 
+    /// Whether requests of the class with this index may be executed any number of times.
+    pub fn is_idempotent(&self, class: usize) -> bool {
+        self.idempotency(class) == Idempotency::Idempotent
+    }
+
+    fn idempotency(&self, class: usize) -> Idempotency {
+        self.classes.get(class).map_or(Idempotency::NonIdempotent, |class| class.idempotency)
+    }
+
     /// Records that the gateway closed a connection on which `unanswered` requests had no response although
     /// their client was still connected.
     pub fn record_connection_closed(&mut self, unanswered: usize) {
--- a/crates/core/src/proxy.rs
+++ b/crates/core/src/proxy.rs
@@ -6,6 +6,7 @@
 //! [`ProxyCore::next_timeout`]. An attempt ends once: when the runtime reports its end or when it times out,
 //! whichever comes first. Later reports are ignored. All times are in seconds.
 
+mod executed_ids;
 mod metrics;
 mod output;
 mod request;
@@ -19,6 +20,7 @@
 use crate::engine::EngineError;
 use crate::guard::{Execution, Guard, SendError, SendLimits, Violations};
 use crate::shutdown::Shutdown;
+use executed_ids::ExecutedIds;
 use table::{Attempt, OpenRequest, RequestTable};
 use weirusher::{
     Action, BackendId, Endpoint, EndpointListKind, Event, LoadReport, Reason, Request, RequestId, Settings,
@@ -48,6 +50,7 @@
     driver: PolicyDriver<Timer>,
     guard: Guard,
     requests: RequestTable,
+    executed_ids: ExecutedIds,
     outputs: Vec<ProxyOutput>,
     metrics: ProxyMetrics,
 }
@@ -58,12 +61,13 @@
     /// # Errors
     /// The policy rejects the settings.
     pub fn new(settings: Settings, seed: u64, now: Time) -> Result<Self, EngineError> {
-        let guard = Guard::new(&settings);
+        let (guard, executed_ids) = (Guard::new(&settings), ExecutedIds::new(&settings.classes));
         let driver = PolicyDriver::new(settings, seed, now).map_err(EngineError::Settings)?;
         Ok(Self {
             driver,
             guard,
             requests: RequestTable::default(),
+            executed_ids,
             outputs: Vec::new(),
             metrics: ProxyMetrics::default(),
         })
@@ -134,9 +138,10 @@
     // ---- Events ----
 
     /// Handles a request that was read. One that cannot be answered before the process ends is rejected at
-    /// once.
+    /// once. One whose id belongs to a request that is open, or may have been executed and must not be executed
+    /// again, is not entered.
     pub fn handle_request(&mut self, now: Time, request: IncomingRequest) -> RequestStatus {
-        if self.contains(&request.id) {
+        if self.contains(&request.id) || self.executed_ids.contains(now, &request.id) {
             return RequestStatus::Duplicate;
         }
         self.metrics.requests += 1;
@@ -203,7 +208,7 @@
             load,
         };
         self.run_policy(now, event);
-        self.requests.remove_finished(id);
+        self.remove_finished(now, id);
         serves
     }
 
@@ -275,9 +280,9 @@
     }
 
     /// Sends the policy's outcome for a request to its client, unless the request already has a response.
-    fn answer(&mut self, id: RequestId, outcome: Outcome) {
+    fn answer(&mut self, now: Time, id: RequestId, outcome: Outcome) {
         if self.end_pending(&id) {
-            self.requests.remove_finished(&id);
+            self.remove_finished(now, &id);
             self.respond(id, outcome);
         }
     }
@@ -294,7 +299,7 @@
         for attempt in 0..self.requests.attempts(id) {
             self.cancel_attempt(now, id, attempt);
         }
-        self.requests.remove_finished(id);
+        self.remove_finished(now, id);
     }
 
     fn cancel_attempt(&mut self, now: Time, id: &RequestId, attempt: u32) {
@@ -304,6 +309,15 @@
         }
     }
 
+    /// Removes a request that is not pending and has no attempt in flight. Its id is kept if the request must not be
+    /// executed again.
+    fn remove_finished(&mut self, now: Time, id: &RequestId) {
+        let Some(request) = self.requests.remove_finished(id) else { return };
+        if request.may_have_executed() && !self.guard.is_idempotent(request.class) {
+            self.executed_ids.insert(now, id.clone());
+        }
+    }
+
     /// Marks a request as no longer pending. Returns whether it was pending.
     fn end_pending(&mut self, id: &RequestId) -> bool {
         let Some(timer) = self.requests.end_pending(id) else { return false };
@@ -328,9 +342,9 @@
                 self.start_attempt(now, request, backend, timeout, start_within);
             }
             Action::Reject { request, retry_after, reason } => {
-                self.answer(request, Outcome::Rejected { retry_after, reason });
+                self.answer(now, request, Outcome::Rejected { retry_after, reason });
             }
-            Action::Fail { request, reason } => self.answer(request, Outcome::Failed { reason }),
+            Action::Fail { request, reason } => self.answer(now, request, Outcome::Failed { reason }),
             _ => self.outputs.push(Command::Log("ignored an unsupported policy action".into()).into()),
         }
     }
--- a/crates/core/src/proxy/request.rs
+++ b/crates/core/src/proxy/request.rs
@@ -30,6 +30,6 @@
 pub enum RequestStatus {
     /// It will get a response, from a [`super::ProxyOutput::Respond`] or from an attempt that serves it.
     Accepted,
-    /// A request with the same id is open. This one was ignored.
+    /// A request with the same id is open, or may have been executed and is not idempotent. This one was ignored.
     Duplicate,
 }
--- a/crates/core/src/proxy/table.rs
+++ b/crates/core/src/proxy/table.rs
@@ -54,6 +54,11 @@
         self.attempts.len() as u32
     }
 
+    /// Whether an attempt may have been executed.
+    pub fn may_have_executed(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.execution != Execution::NotExecuted)
+    }
+
     pub fn add_attempt(&mut self, attempt: Attempt) {
         self.attempts.push(attempt);
         self.in_flight += 1;
@@ -174,10 +179,10 @@
         Some(EndedAttempt { backend: attempt.backend.clone(), elapsed: now - attempt.started_at, timer })
     }
 
-    /// Removes a request that is not pending and has no attempt in flight.
-    pub fn remove_finished(&mut self, id: &str) {
-        if self.requests.get(id).is_some_and(|r| r.deadline_timer.is_none() && r.in_flight == 0) {
-            self.requests.remove(id);
-        }
+    /// Removes and returns a request that is not pending and has no attempt in flight.
+    pub fn remove_finished(&mut self, id: &str) -> Option<OpenRequest> {
+        let request = self.requests.get(id)?;
+        let is_finished = request.deadline_timer.is_none() && request.in_flight == 0;
+        if is_finished { self.requests.remove(id) } else { None }
     }
 }
--- a/crates/platform/src/client/error.rs
+++ b/crates/platform/src/client/error.rs
@@ -32,8 +32,8 @@
     /// The named header is missing, duplicated or invalid.
     #[error("header {0} is missing, duplicated or invalid")]
     Header(&'static str),
-    /// A request with the same id is open.
-    #[error("a request with the same id is open")]
+    /// A request with the same id is open, or may have been executed and must not be executed again.
+    #[error("a request with the same id is open or may have been executed")]
     DuplicateId,
     /// The memory for requests is used by others.
     #[error("the memory budget for requests is exhausted")]
