The state of customers is bounded, so that customers that come once fill no memory

What operators saw: requests of ever new customers let memory grow until the process is over its limit and is killed.

Cause: a customer was kept for a minute whatever their number, in a table that stands in memory twice while it doubles.

A full table forgets customers that are like new: nothing in flight, and silent for as long as their burst and their ceiling's need to refill. While there are none, requests of unknown customers are rejected as overload. A table of moderate size is allocated at once.

--- a/crates/cli/tests/node_memory/memory_limits.rs
+++ b/crates/cli/tests/node_memory/memory_limits.rs
@@ -322,3 +322,38 @@
         assert!(memory.peak <= SMALL.memory_mb * MEGABYTE, "{what}: {memory:?}");
     }
 }
+
+/// Guards against state of customers that grows without end: each request is of another customer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn customers_that_come_once_stay_within_the_memory_limit() {
+    /// Share of the memory limit that the page of the platform states for the state of customers.
+    const CUSTOMER_SHARE: f64 = 0.2;
+    /// More customers than the memory limit has room for.
+    const CUSTOMERS: u64 = 80_000;
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let _running = RUNNING.lock().await;
+    let trouble: Trouble = |stream| {
+        let of_next_customer = |_| {
+            let customer = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+            request(&unique_id(), "iso", 2500).replace("00000000b4d65521", &customer)
+        };
+        let requests: String = (0..50).map(of_next_customer).collect();
+        let answered = send_and_read(stream, requests, 0, Duration::ZERO);
+        Box::pin(async { tokio::time::timeout(Duration::from_millis(200), answered).await.unwrap_or(Ok(())) })
+    };
+    let harness = start(SMALL).await;
+    let started = Instant::now();
+    let mut memory = peak_memory(&harness, SMALL, trouble).await;
+    while NEXT.load(Ordering::Relaxed) < CUSTOMERS && started.elapsed() < Duration::from_secs(40) {
+        memory.peak = memory.peak.max(peak_memory(&harness, SMALL, trouble).await.peak);
+    }
+    println!(
+        "customers that come once: {} in {:?}, {memory:?}",
+        NEXT.load(Ordering::Relaxed),
+        started.elapsed()
+    );
+    let limit = SMALL.memory_mb * MEGABYTE;
+    let shares = (limit as f64 * (MESSAGE_SHARE + CUSTOMER_SHARE)) as u64;
+    let connections = SMALL.sockets as u64 * CONNECTION_BYTES;
+    assert!(memory.peak - memory.idle <= shares + connections, "{memory:?}");
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -6,6 +6,8 @@
 
 const MAX_INSTANCES: u32 = 100_000;
 const MAX_ZONE: u32 = 10_000;
+/// Maximum number of customers whose state is kept, about 150 MB.
+const MAX_CUSTOMERS: u32 = 1 << 18;
 const MAX_OPEN_REQUESTS: u32 = 10_000_000;
 const MAX_ATTEMPTS: u32 = 100;
 /// Maximum of `fall_multiple`, the multiple of its capacity at which a backend is overloaded.
@@ -33,6 +35,7 @@
 /// Retry-After.
 pub(crate) fn read_limits(root: &mut Table<'_, '_>, settings: &mut Settings) {
     (settings.max_open_requests, settings.max_attempts, settings.max_retry_after) = (10_000, 3, 5.0);
+    settings.max_customers = MAX_CUSTOMERS;
     let Some(mut table) = root.table("limits") else { return };
     settings.max_open_requests =
         table.whole_number("open", settings.max_open_requests, 1..=MAX_OPEN_REQUESTS);
--- a/crates/node/src/budget.rs
+++ b/crates/node/src/budget.rs
@@ -14,6 +14,10 @@
 const MESSAGE_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit for the endpoint lists that are being received. A list is copied once to be parsed.
 const LIST_FRACTION: f64 = 0.15;
+/// Fraction of the memory limit for the state of customers.
+const CUSTOMER_FRACTION: f64 = 0.2;
+/// Memory for the state of one customer in bytes, its part of the table and its name included.
+const CUSTOMER_BYTES: f64 = 560.0;
 /// Bytes in a megabyte, as the platform defines it.
 const MEGABYTE: f64 = 1e6;
 
@@ -28,6 +32,8 @@
     pub message_bytes: usize,
     /// Maximum total bytes of the endpoint lists that are being received.
     pub list_bytes: usize,
+    /// Maximum number of customers whose state is kept.
+    pub customers: u32,
 }
 
 impl ResourceBudget {
@@ -38,6 +44,7 @@
         let client_connections = (usable as usize).saturating_sub(backend_connections).max(1);
         let share = |fraction: f64| (limits.memory_mb * MEGABYTE * fraction) as usize;
         let (message_bytes, list_bytes) = (share(MESSAGE_FRACTION), share(LIST_FRACTION));
-        Self { client_connections, backend_connections, message_bytes, list_bytes }
+        let customers = (share(CUSTOMER_FRACTION) as f64 / CUSTOMER_BYTES) as u32;
+        Self { client_connections, backend_connections, message_bytes, list_bytes, customers }
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -134,7 +134,9 @@
     pub fn new(config: &Config) -> Result<Rc<Self>, EngineError> {
         let (clock, budget) = (Clock::start(), ResourceBudget::new(&config.limits));
         let (platform, settings) = (&config.platform, &config.platform.settings);
-        let proxy = ProxyCore::new(settings.clone(), config.seed, clock.now())?;
+        let mut bounded = settings.clone();
+        bounded.max_customers = budget.customers;
+        let proxy = ProxyCore::new(bounded, config.seed, clock.now())?;
         let failure = Rc::new(Failure::default());
         let pool_timeout = IDLE_TIMEOUT_FRACTION * platform.connection_idle_timeout;
         Ok(Rc::new(Self {
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -99,6 +99,8 @@
     pub max_attempts: u32,
     /// Maximum number of open requests.
     pub max_open_requests: u32,
+    /// Maximum number of customers whose state is kept.
+    pub max_customers: u32,
     /// Rejections carry a Retry-After.
     pub sends_retry_after: bool,
     /// Longest Retry-After that clients honour, in seconds.
@@ -133,6 +135,7 @@
             hedging: false,
             max_attempts: 1,
             max_open_requests: u32::MAX,
+            max_customers: u32::MAX,
             sends_retry_after: true,
             max_retry_after: 1.0,
             polls_endpoints: false,
--- a/src/platform_settings.rs
+++ b/src/platform_settings.rs
@@ -104,6 +104,7 @@
         hedging: limits.flag("SecondCopies"),
         max_attempts: limits.number("SendCap", 1.0)? as u32,
         max_open_requests: limits.number("OpenCap", f64::from(u32::MAX))? as u32,
+        max_customers: default.max_customers,
         sends_retry_after: limits.flag("RetryAfter"),
         max_retry_after: limits.number("MaxRetryAfter", default.max_retry_after)?,
         slow_start_min_capacity: rules.number("ColdFrom", default.slow_start_min_capacity)?,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -2,7 +2,8 @@
 //!
 //! 1. A request is rejected at once if it is invalid, if its deadline is too close to decide it in time, or
 //!    if the maximum number of open requests in the settings is reached.
-//! 2. It is rejected if the gateway's `concurrency_limit` is reached.
+//! 2. It is rejected if the gateway's `concurrency_limit` is reached, or if its customer is new and there is
+//!    no place for one more (`customer`).
 //! 3. A plan without a rate has no quota: only the customer's number of attempts in flight is checked
 //!    (`spend` in `quota`). Otherwise the customer's quota decides (`admit` in `quota`).
 //!
@@ -32,6 +33,9 @@
         if let Some(reason) = rejection {
             return self.respond_locally(&id, 0.0, reason);
         }
+        if !self.customers.has_place(self.now, &request.customer, &self.settings.plans) {
+            return self.respond_locally(&id, self.settings.max_retry_after, Reason::Overload);
+        }
         let plan = self.settings.plans[request.plan].clone();
         self.record_demand(&request, &plan);
         if !self.has_capacity(1.0) {
--- a/src/policy/customer.rs
+++ b/src/policy/customer.rs
@@ -1,11 +1,20 @@
 //! The state that a gateway keeps of each customer. Quantities are quota units.
+//!
+//! The number of customers is limited. When it is reached, customers are removed whose state has become that
+//! of a new customer again: they have nothing in flight, what they spent without a lease has been refilled,
+//! and so has their headroom under a ceiling. So no customer gains by being removed. While there are none,
+//! requests of further customers are rejected.
 
 use super::count_reading::CountHistory;
 use super::lease::PendingCall;
 use super::token_bucket::{DecayingSum, TokenBucket};
-use crate::interface::{CustomerId, RequestId, Time};
+use super::tuning::CUSTOMER_SWEEP_INTERVAL_SECONDS;
+use crate::interface::{CustomerId, Plan, RequestId, Time};
 use std::collections::{HashMap, VecDeque};
 
+/// Largest table that is allocated as a whole.
+const MAX_PREALLOCATED: usize = 1 << 17;
+
 /// State of one customer at this gateway.
 #[derive(Debug, Default)]
 pub(super) struct Customer {
@@ -44,9 +53,17 @@
 }
 
 impl Customer {
-    /// Returns whether the customer has neither an attempt nor a call for a lease in flight.
+    /// Returns whether the customer has neither an attempt, a call for a lease nor a waiting request.
     fn is_idle(&self) -> bool {
-        self.attempts_in_flight == 0 && self.pending_call.is_none()
+        self.attempts_in_flight == 0 && self.pending_call.is_none() && self.waiting.is_empty()
+    }
+
+    /// Returns whether a new customer would be treated in the same way.
+    fn is_like_new(&self, now: Time, plan: &Plan) -> bool {
+        let refill_seconds = plan.refill_seconds();
+        let uncounted_seconds = self.uncounted.units.max(0.0) / self.even_share(plan.rate);
+        let spent = self.uncounted.units > 0.0 && now - self.uncounted.since < uncounted_seconds;
+        self.is_idle() && now - self.last_used >= refill_seconds && !spent
     }
 
     /// Returns this gateway's share of `units`, divided evenly among the gateways that serve the customer.
@@ -55,19 +72,54 @@
     }
 }
 
+impl Plan {
+    /// Returns the seconds in which an empty quota, and an empty headroom under a ceiling, are full again.
+    fn refill_seconds(&self) -> Time {
+        let seconds = |burst: f64, rate: f64| if rate > 0.0 { burst / rate } else { 0.0 };
+        seconds(self.burst, self.rate) + seconds(self.ceiling_burst, self.ceiling_rate)
+    }
+}
+
 /// The customers that have sent requests recently.
-#[derive(Debug, Default)]
-pub(super) struct CustomerTable(HashMap<CustomerId, Customer>);
+#[derive(Debug)]
+pub(super) struct CustomerTable {
+    customers: HashMap<CustomerId, Customer>,
+    max_customers: usize,
+    /// When the table was last searched for customers that can be removed.
+    swept_at: Time,
+}
 
 impl CustomerTable {
+    /// Creates a table of at most `max_customers`. One of a moderate size is allocated as a whole, so that
+    /// it never stands in memory twice.
+    pub(super) fn new(max_customers: usize) -> Self {
+        let capacity = if max_customers <= MAX_PREALLOCATED { max_customers } else { 0 };
+        Self { customers: HashMap::with_capacity(capacity), max_customers, swept_at: f64::NEG_INFINITY }
+    }
+
+    /// Returns whether the table has the customer or a place for it. If it is full, customers that are like
+    /// new are removed; `plans` are those of the settings.
+    pub(super) fn has_place(&mut self, now: Time, id: &CustomerId, plans: &[Plan]) -> bool {
+        if self.customers.len() < self.max_customers || self.customers.contains_key(id) {
+            return true;
+        }
+        if now - self.swept_at >= CUSTOMER_SWEEP_INTERVAL_SECONDS {
+            self.swept_at = now;
+            self.customers.retain(|_, customer| !customer.is_like_new(now, &plans[customer.plan]));
+        }
+        self.customers.len() < self.max_customers
+    }
+
     /// Returns a customer, or `None` if its state has been removed.
     pub(super) fn find(&mut self, id: &CustomerId) -> Option<&mut Customer> {
-        self.0.get_mut(id)
+        self.customers.get_mut(id)
     }
 
     /// Returns a customer that has an open request or a call in flight; its state is never removed.
     pub(super) fn existing(&mut self, id: &CustomerId) -> &mut Customer {
-        self.0.get_mut(id).expect("a customer with an open request or a call in flight is not removed")
+        self.customers
+            .get_mut(id)
+            .expect("a customer with an open request or a call in flight is not removed")
     }
 
     /// Returns the customer; a new one is created by `new` and inserted.
@@ -76,12 +128,12 @@
         id: &CustomerId,
         new: impl FnOnce() -> Customer,
     ) -> &mut Customer {
-        self.0.entry(id.clone()).or_insert_with(new)
+        self.customers.entry(id.clone()).or_insert_with(new)
     }
 
     /// Removes the customers that have been idle for `idle_seconds` at `now`.
     pub(super) fn remove_idle(&mut self, now: Time, idle_seconds: f64) {
-        self.0.retain(|_, customer| now - customer.last_used < idle_seconds || !customer.is_idle());
+        self.customers.retain(|_, customer| now - customer.last_used < idle_seconds || !customer.is_idle());
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -109,7 +109,7 @@
             actions: Vec::new(),
             timers: Timers::default(),
             requests: HashMap::new(),
-            customers: CustomerTable::default(),
+            customers: CustomerTable::new(settings.max_customers as usize),
             counter: CounterCalls::new(&settings),
             fractional_shares: vec![FractionalShares::default(); settings.plans.len()],
             backends: BackendTable::default(),
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -173,5 +173,7 @@
 
 // Idle customers.
 
+/// Shortest time between two searches of a full table for customers that can be removed.
+pub(super) const CUSTOMER_SWEEP_INTERVAL_SECONDS: f64 = 0.25;
 /// Time after which the state of an idle customer is removed; longer than any window.
 pub(super) const IDLE_CUSTOMER_SECONDS: f64 = 60.0;
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the policy, which is driven by events alone.
 
+mod customers;
 mod fleet;
 mod harness;
 mod leases;
