--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -45,6 +45,8 @@
 
 /// Options for starting the gateway process.
 struct LaunchOptions<'a> {
+    /// Arguments beside the configuration.
+    arguments: &'a [OsString],
     environment: &'a [(&'a str, OsString)],
     /// Start times of the backends in the first endpoint list, in Unix milliseconds.
     start_times: &'a [i64],
@@ -53,7 +55,7 @@
 
 impl Default for LaunchOptions<'_> {
     fn default() -> Self {
-        Self { environment: &[], start_times: &[], stderr: Stdio::inherit() }
+        Self { arguments: &[], environment: &[], start_times: &[], stderr: Stdio::inherit() }
     }
 }
 
@@ -119,6 +121,18 @@
         harness
     }
 
+    /// Starts a gateway with further arguments, and a change to its configuration.
+    pub async fn start_with_arguments(
+        backends: usize,
+        arguments: &[OsString],
+        change: impl FnOnce(String) -> String,
+    ) -> Self {
+        let options = LaunchOptions { arguments, ..LaunchOptions::default() };
+        let harness = Self::spawn(backends, 256, &[], change, options).await;
+        harness.wait_until_ready().await;
+        harness
+    }
+
     /// Starts a gateway whose clock and system calls are intercepted by `shim`.
     pub async fn start_with_shim(
         backends: usize,
@@ -193,6 +207,7 @@
         let exe = env!("CARGO_BIN_EXE_weirusher");
         let child = Command::new(exe)
             .arg("node")
+            .args(options.arguments)
             .env("NODE_CONFIG", &file)
             .env("RUST_LOG", std::env::var("NODE_LOG").unwrap_or_else(|_| "warn".into()))
             .envs(options.environment.iter().cloned())
--- a/crates/cli/tests/node_floods/floods.rs
+++ b/crates/cli/tests/node_floods/floods.rs
@@ -1,9 +1,9 @@
 //! Clients that send at full speed: other clients get their responses as quickly as without them.
 
 use crate::platform::configuration;
-use crate::support::{ANY_PORT, Harness, READINESS_CHECK, endpoint_list, request, unique_id};
+use crate::support::{ANY_PORT, Harness, READINESS_CHECK, endpoint_list, request, unique_address, unique_id};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
@@ -161,6 +161,45 @@
     assert!(flooded <= quiet + TOLERANCE, "p99: {quiet:?} quiet, {flooded:?} beside the flood");
 }
 
+/// Guards against datagrams that arrive faster than they are read: they kept the thread from all other tasks.
+#[tokio::test]
+async fn datagrams_at_full_speed_delay_no_client() {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let dir = tempfile::tempdir().unwrap();
+    let fleet_file = dir.path().join("fleet.toml");
+    // The port is free again once the socket is dropped; no other process binds to this address.
+    let fleet = UdpSocket::bind(unique_address()).unwrap().local_addr().unwrap();
+    let other = unique_address().ip();
+    let text = format!(
+        "[fleet]\nnumber = 0\nlisten = \"{fleet}\"\nmembers = [\"{fleet}\", \"{other}:9\"]\n\
+         key = \"0123456789abcdef0123456789abcdef\"\n"
+    );
+    std::fs::write(&fleet_file, text).unwrap();
+    let arguments = ["--fleet".into(), fleet_file.into_os_string()];
+    let in_fleet = |text: String| text.replace(r#""PeersTotal":1"#, r#""PeersTotal":2"#);
+    let harness = Harness::start_with_arguments(2, &arguments, in_fleet).await;
+    let quiet = lowest_response_time(&harness, &[200]).await;
+    let (stop, sent) = (Arc::<AtomicBool>::default(), Arc::<AtomicU64>::default());
+    let senders = (0..FLOODING_CONNECTIONS).map(|_| {
+        let (stop, sent) = (stop.clone(), sent.clone());
+        std::thread::spawn(move || {
+            let socket = UdpSocket::bind(ANY_PORT).unwrap();
+            while !stop.load(Ordering::Relaxed) {
+                sent.fetch_add(u64::from(socket.send_to(&[7; 200], fleet).is_ok()), Ordering::Relaxed);
+            }
+        })
+    });
+    let senders: Vec<_> = senders.collect();
+    tokio::time::sleep(LEAD).await;
+    let flooded = lowest_response_time(&harness, &[200]).await;
+    stop.store(true, Ordering::Relaxed);
+    senders.into_iter().for_each(|sender| sender.join().unwrap());
+    let sent = sent.load(Ordering::Relaxed);
+    eprintln!("p99: {quiet:?} quiet, {flooded:?} beside {sent} datagrams");
+    assert!(sent > 10_000, "the flood is slow: {sent} datagrams");
+    assert!(flooded <= quiet + TOLERANCE, "p99: {quiet:?} quiet, {flooded:?} beside the flood");
+}
+
 /// A complete list with many draining backends beside the given ones.
 fn long_list(version: u64, backends: &[SocketAddr]) -> String {
     const DRAINING: usize = 100;
