--- a/crates/cli/tests/node/support.rs
+++ b/crates/cli/tests/node/support.rs
@@ -44,13 +44,13 @@
 }
 
 /// Options for starting the gateway process.
-struct LaunchOptions<'a> {
+pub struct LaunchOptions<'a> {
     /// Arguments beside the configuration.
-    arguments: &'a [OsString],
-    environment: &'a [(&'a str, OsString)],
+    pub arguments: &'a [OsString],
+    pub environment: &'a [(&'a str, OsString)],
     /// Start times of the backends in the first endpoint list, in Unix milliseconds.
-    start_times: &'a [i64],
-    stderr: Stdio,
+    pub start_times: &'a [i64],
+    pub stderr: Stdio,
 }
 
 impl Default for LaunchOptions<'_> {
@@ -121,18 +121,6 @@
         harness
     }
 
-    /// Starts a gateway with further arguments, and a change to its configuration.
-    pub async fn start_with_arguments(
-        backends: usize,
-        arguments: &[OsString],
-        change: impl FnOnce(String) -> String,
-    ) -> Self {
-        let options = LaunchOptions { arguments, ..LaunchOptions::default() };
-        let harness = Self::spawn(backends, 256, &[], change, options).await;
-        harness.wait_until_ready().await;
-        harness
-    }
-
     /// Starts a gateway whose clock and system calls are intercepted by `shim`.
     pub async fn start_with_shim(
         backends: usize,
@@ -175,7 +163,8 @@
         Self::spawn(backends, sockets, others, change, LaunchOptions::default()).await
     }
 
-    async fn spawn(
+    /// Starts a gateway with these options, without waiting until it is ready.
+    pub async fn spawn(
         backends: usize,
         sockets: usize,
         others: &[(&str, SocketAddr)],
--- a/crates/cli/tests/node_floods/floods.rs
+++ b/crates/cli/tests/node_floods/floods.rs
@@ -1,7 +1,9 @@
 //! Clients that send at full speed: other clients get their responses as quickly as without them.
 
 use crate::platform::configuration;
-use crate::support::{ANY_PORT, Harness, READINESS_CHECK, endpoint_list, request, unique_address, unique_id};
+use crate::support::{
+    ANY_PORT, Harness, LaunchOptions, READINESS_CHECK, endpoint_list, request, unique_address, unique_id,
+};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
 use std::sync::Arc;
@@ -177,7 +179,9 @@
     std::fs::write(&fleet_file, text).unwrap();
     let arguments = ["--fleet".into(), fleet_file.into_os_string()];
     let in_fleet = |text: String| text.replace(r#""PeersTotal":1"#, r#""PeersTotal":2"#);
-    let harness = Harness::start_with_arguments(2, &arguments, in_fleet).await;
+    let options = LaunchOptions { arguments: &arguments, ..LaunchOptions::default() };
+    let harness = Harness::spawn(2, 256, &[], in_fleet, options).await;
+    harness.wait_until_ready().await;
     let quiet = lowest_response_time(&harness, &[200]).await;
     let (stop, sent) = (Arc::<AtomicBool>::default(), Arc::<AtomicU64>::default());
     let senders = (0..FLOODING_CONNECTIONS).map(|_| {
